Add the decision library: configuration, publishing, distribution, membership, serving

Cause: the product needs its decisions as pure classes that any driver can feed, before sockets. Change: versions with whole apply, plans, conditional publishing, relay tree, presence by stamp, failure detection, gates by rank, ingress with retries and key ownership; wire form of messages. Conclusion: the seam is fixed (inputs with time in, effects out); adapters and tests build on it.

--- /dev/null
+++ b/packages/adapters/src/PeerCodec.cpp
@@ -0,0 +1,464 @@
+/// \file
+/// Conversion between messages and their wire form.
+#include "PeerCodec.h"
+
+#include <algorithm>
+
+namespace godwitlift {
+
+namespace {
+
+constexpr int RecordLimit = 2'000;
+constexpr int StampLimit = 100'000;
+constexpr int ReportLimit = 1'000;
+
+std::uint32_t milliseconds(absl::Duration duration)
+{
+    return static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(absl::ToInt64Milliseconds(duration), 0, UINT32_MAX));
+}
+
+void fill(wire::DeltaStep &to, const DeltaStep &step)
+{
+    to.set_from(step.from.value());
+    to.set_to(step.to.value());
+    to.set_digest(step.digest.value());
+    to.set_text(step.text);
+}
+
+void fill(wire::ZoneReport &to, const ZoneReport &report)
+{
+    to.set_zone(report.zone.value());
+    to.set_hosts(report.hosts);
+    to.set_lowest(report.lowest.value());
+    to.set_refusals(report.refusals);
+    to.set_as_of_unix_ms(report.asOfUnixMs);
+    for (const LaggingHost &host : report.lagging) {
+        wire::LaggingHost &entry = *to.add_lagging();
+        entry.set_host(host.host.value());
+        entry.set_held(host.held.value());
+        entry.set_refused(host.refused.value());
+        entry.set_problem(host.problem);
+    }
+}
+
+ZoneReport read(const wire::ZoneReport &from)
+{
+    ZoneReport report;
+    report.zone = ZoneId(from.zone());
+    report.hosts = from.hosts();
+    report.lowest = Version(from.lowest());
+    report.refusals = from.refusals();
+    report.asOfUnixMs = from.as_of_unix_ms();
+    for (const wire::LaggingHost &entry : from.lagging())
+        report.lagging.push_back({ HostId(entry.host()), Version(entry.held()),
+                                   Version(entry.refused()), entry.problem() });
+    return report;
+}
+
+template<typename Field>
+std::vector<ZoneReport> readReports(const Field &from)
+{
+    std::vector<ZoneReport> reports;
+    for (const wire::ZoneReport &report : from)
+        reports.push_back(read(report));
+    return reports;
+}
+
+void fill(wire::Stamp &to, const RecordStamp &stamp)
+{
+    to.set_incarnation(stamp.incarnation.value());
+    to.set_sequence(stamp.sequence.value());
+    to.set_liveness(static_cast<std::uint32_t>(stamp.liveness));
+}
+
+RecordStamp read(const wire::Stamp &from)
+{
+    const auto liveness = std::min<std::uint32_t>(from.liveness(), 2);
+    return { Incarnation(from.incarnation()), Sequence(from.sequence()),
+             static_cast<Liveness>(liveness) };
+}
+
+void fill(wire::HostRecord &to, const HostRecord &record)
+{
+    to.set_host(record.host.value());
+    to.set_zone(record.zone.value());
+    to.set_region(record.region.value());
+    to.set_address(record.address.value());
+    fill(*to.mutable_stamp(), record.stamp);
+    to.set_state(static_cast<std::uint32_t>(record.state));
+    for (const BackendServer &server : record.backendServers) {
+        wire::BackendServer &entry = *to.add_backend_servers();
+        entry.set_id(server.id.value());
+        entry.set_service(server.service.value());
+        entry.set_address(server.address.value());
+        entry.set_slots(server.slots);
+        entry.set_is_draining(server.state == BackendServerState::Draining);
+        entry.set_started_unix_ms(server.startedUnixMs);
+    }
+}
+
+HostRecord read(const wire::HostRecord &from)
+{
+    HostRecord record;
+    record.host = HostId(from.host());
+    record.zone = ZoneId(from.zone());
+    record.region = RegionId(from.region());
+    record.address = Address(from.address());
+    record.stamp = read(from.stamp());
+    record.state = static_cast<HostState>(std::min<std::uint32_t>(from.state(), 2));
+    for (const wire::BackendServer &entry : from.backend_servers()) {
+        BackendServer server;
+        server.id = BackendServerId(entry.id());
+        server.service = ServiceId(entry.service());
+        server.address = Address(entry.address());
+        server.slots = entry.slots();
+        server.state = entry.is_draining() ? BackendServerState::Draining
+                                           : BackendServerState::Ready;
+        server.startedUnixMs = entry.started_unix_ms();
+        record.backendServers.push_back(std::move(server));
+    }
+    return record;
+}
+
+/// Fills the envelope's field for each kind of message.
+struct EnvelopeWriter
+{
+    wire::Envelope &to;
+
+    void operator()(const FollowRequest &message) const
+    {
+        wire::FollowRequest &field = *to.mutable_follow_request();
+        field.set_is_follower(message.isFollower);
+        field.set_held(message.held.value());
+        field.set_refused(message.refused.value());
+        field.set_presence_digest(message.presenceDigest);
+        for (const ZoneReport &report : message.reports)
+            fill(*field.add_reports(), report);
+    }
+    void operator()(const FollowAnswer &message) const
+    {
+        wire::FollowAnswer &field = *to.mutable_follow_answer();
+        field.set_is_admitted(message.isAdmitted);
+        field.set_retry_after_ms(milliseconds(message.retryAfter));
+        field.set_held(message.held.value());
+        field.set_presence_digest(message.presenceDigest);
+    }
+    void operator()(const StepsOffer &message) const
+    {
+        for (const DeltaStep &step : message.steps)
+            fill(*to.mutable_steps_offer()->add_steps(), step);
+    }
+    void operator()(const SnapshotRequest &message) const
+    {
+        to.mutable_snapshot_request()->set_above(message.above.value());
+    }
+    void operator()(const SnapshotOffer &message) const
+    {
+        wire::SnapshotOffer &field = *to.mutable_snapshot_offer();
+        field.set_version(message.snapshot.version.value());
+        field.set_digest(message.snapshot.digest.value());
+        field.set_text(message.snapshot.text);
+    }
+    void operator()(const RecordsOffer &message) const
+    {
+        for (const HostRecord &record : message.records)
+            fill(*to.mutable_records_offer()->add_records(), record);
+    }
+    void operator()(const ZoneDigestsOffer &message) const
+    {
+        wire::ZoneDigestsOffer &field = *to.mutable_zone_digests();
+        for (const ZoneDigest &digest : message.digests) {
+            wire::ZoneDigest &entry = *field.add_digests();
+            entry.set_zone(digest.zone.value());
+            entry.set_digest(digest.digest);
+        }
+    }
+    void operator()(const StampsOffer &message) const
+    {
+        wire::StampsOffer &field = *to.mutable_stamps_offer();
+        field.set_zone(message.zone.value());
+        field.set_wants_return(message.wantsReturn);
+        for (const StampedHost &host : message.stamps) {
+            wire::StampedHost &entry = *field.add_stamps();
+            entry.set_host(host.host.value());
+            fill(*entry.mutable_stamp(), host.stamp);
+        }
+    }
+    void operator()(const Probe &message) const
+    {
+        wire::Probe &field = *to.mutable_probe();
+        field.set_number(message.number);
+        field.set_target(message.target.value());
+        field.set_origin(message.origin.value());
+    }
+    void operator()(const ProbeAnswer &message) const
+    {
+        to.mutable_probe_answer()->set_number(message.number);
+    }
+    void operator()(const StatusRequest &message) const
+    {
+        to.mutable_status_request()->set_number(message.number);
+    }
+    void operator()(const StatusAnswer &message) const
+    {
+        wire::StatusAnswer &field = *to.mutable_status_answer();
+        field.set_number(message.number);
+        for (const ZoneReport &report : message.reports)
+            fill(*field.add_reports(), report);
+    }
+};
+
+FollowRequest read(const wire::FollowRequest &from)
+{
+    FollowRequest message;
+    message.isFollower = from.is_follower();
+    message.held = Version(from.held());
+    message.refused = Version(from.refused());
+    message.presenceDigest = from.presence_digest();
+    message.reports = readReports(from.reports());
+    return message;
+}
+
+FollowAnswer read(const wire::FollowAnswer &from)
+{
+    FollowAnswer message;
+    message.isAdmitted = from.is_admitted();
+    message.retryAfter = absl::Milliseconds(from.retry_after_ms());
+    message.held = Version(from.held());
+    message.presenceDigest = from.presence_digest();
+    return message;
+}
+
+StepsOffer read(const wire::StepsOffer &from)
+{
+    StepsOffer message;
+    for (const wire::DeltaStep &step : from.steps())
+        message.steps.push_back(
+                { Version(step.from()), Version(step.to()), Digest(step.digest()), step.text() });
+    return message;
+}
+
+RecordsOffer read(const wire::RecordsOffer &from)
+{
+    RecordsOffer message;
+    for (const wire::HostRecord &record : from.records())
+        message.records.push_back(read(record));
+    return message;
+}
+
+ZoneDigestsOffer read(const wire::ZoneDigestsOffer &from)
+{
+    ZoneDigestsOffer message;
+    for (const wire::ZoneDigest &entry : from.digests())
+        message.digests.push_back({ ZoneId(entry.zone()), entry.digest() });
+    return message;
+}
+
+StampsOffer read(const wire::StampsOffer &from)
+{
+    StampsOffer message;
+    message.zone = ZoneId(from.zone());
+    message.wantsReturn = from.wants_return();
+    for (const wire::StampedHost &entry : from.stamps())
+        message.stamps.push_back({ HostId(entry.host()), read(entry.stamp()) });
+    return message;
+}
+
+bool exceedsBounds(const wire::Envelope &envelope)
+{
+    return envelope.records_offer().records_size() > RecordLimit
+            || envelope.stamps_offer().stamps_size() > StampLimit
+            || envelope.zone_digests().digests_size() > ReportLimit
+            || envelope.follow_request().reports_size() > ReportLimit
+            || envelope.status_answer().reports_size() > ReportLimit;
+}
+
+void fill(wire::Load &to, const GateLoad &load)
+{
+    to.set_in_use(load.inUse);
+    to.set_limit(load.limit);
+    to.set_queued(load.queued);
+}
+
+GateLoad read(const wire::Load &from)
+{
+    return { from.in_use(), from.limit(), from.queued() };
+}
+
+template<typename Field>
+std::vector<HttpHeader> readHeaders(const Field &from)
+{
+    std::vector<HttpHeader> headers;
+    for (const wire::Header &header : from)
+        headers.push_back({ header.name(), header.value() });
+    return headers;
+}
+
+template<typename Message>
+void fillHeaders(Message &to, const std::vector<HttpHeader> &headers)
+{
+    for (const HttpHeader &header : headers) {
+        wire::Header &entry = *to.add_headers();
+        entry.set_name(header.name);
+        entry.set_value(header.value);
+    }
+}
+
+} // namespace
+
+wire::Envelope toWire(const PeerMessage &message)
+{
+    wire::Envelope envelope;
+    std::visit(EnvelopeWriter{ envelope }, message);
+    // An empty list would otherwise leave the kind of the message unset.
+    if (std::holds_alternative<RecordsOffer>(message))
+        envelope.mutable_records_offer();
+    if (std::holds_alternative<StepsOffer>(message))
+        envelope.mutable_steps_offer();
+    return envelope;
+}
+
+std::optional<PeerMessage> fromWire(const wire::Envelope &envelope)
+{
+    if (exceedsBounds(envelope))
+        return std::nullopt;
+    switch (envelope.message_case()) {
+    case wire::Envelope::kFollowRequest:
+        return read(envelope.follow_request());
+    case wire::Envelope::kFollowAnswer:
+        return read(envelope.follow_answer());
+    case wire::Envelope::kStepsOffer:
+        return read(envelope.steps_offer());
+    case wire::Envelope::kSnapshotRequest:
+        return SnapshotRequest{ Version(envelope.snapshot_request().above()) };
+    case wire::Envelope::kSnapshotOffer:
+        return SnapshotOffer{ { Version(envelope.snapshot_offer().version()),
+                                Digest(envelope.snapshot_offer().digest()),
+                                envelope.snapshot_offer().text() } };
+    case wire::Envelope::kRecordsOffer:
+        return read(envelope.records_offer());
+    case wire::Envelope::kZoneDigests:
+        return read(envelope.zone_digests());
+    case wire::Envelope::kStampsOffer:
+        return read(envelope.stamps_offer());
+    case wire::Envelope::kProbe:
+        return Probe{ envelope.probe().number(), HostId(envelope.probe().target()),
+                      HostId(envelope.probe().origin()) };
+    case wire::Envelope::kProbeAnswer:
+        return ProbeAnswer{ envelope.probe_answer().number() };
+    case wire::Envelope::kStatusRequest:
+        return StatusRequest{ envelope.status_request().number() };
+    case wire::Envelope::kStatusAnswer:
+        return StatusAnswer{ envelope.status_answer().number(),
+                             readReports(envelope.status_answer().reports()) };
+    case wire::Envelope::MESSAGE_NOT_SET:
+        break;
+    }
+    return std::nullopt;
+}
+
+wire::CallRequest toWire(const ForwardedCall &call)
+{
+    wire::CallRequest to;
+    to.set_attempt(call.attempt.value());
+    to.set_is_relay(call.isRelay);
+    to.set_backend_server(call.backendServer.value());
+    to.set_rank(call.rank.value());
+    to.set_caller(call.caller.value());
+    to.set_method(call.method);
+    to.set_target(call.target);
+    fillHeaders(to, call.headers);
+    to.set_body(call.body);
+    to.set_timeout_ms(milliseconds(call.timeout));
+    to.set_stall_timeout_ms(milliseconds(call.stallTimeout));
+    to.set_retries_left(call.retriesLeft);
+    to.set_key(call.key.value());
+    to.set_runs_at_most_once(call.runsAtMostOnce);
+    return to;
+}
+
+ForwardedCall fromWire(wire::CallRequest request)
+{
+    ForwardedCall call;
+    call.attempt = AttemptId(request.attempt());
+    call.isRelay = request.is_relay();
+    call.backendServer = BackendServerId(request.backend_server());
+    call.rank = RankId(request.rank());
+    call.caller = CallerId(request.caller());
+    call.method = request.method();
+    call.target = request.target();
+    call.headers = readHeaders(request.headers());
+    call.body = std::move(*request.mutable_body());
+    call.timeout = absl::Milliseconds(request.timeout_ms());
+    call.stallTimeout = absl::Milliseconds(request.stall_timeout_ms());
+    call.retriesLeft = request.retries_left();
+    call.key = IdempotencyKey(request.key());
+    call.runsAtMostOnce = request.runs_at_most_once();
+    return call;
+}
+
+wire::AnswerFrame toWire(const AnswerHead &head)
+{
+    wire::AnswerFrame frame;
+    wire::AnswerHead &to = *frame.mutable_head();
+    to.set_attempt(head.attempt.value());
+    to.set_status(static_cast<std::uint32_t>(head.status));
+    fillHeaders(to, head.headers);
+    to.set_has_length(head.length.has_value());
+    to.set_length(head.length.value_or(0));
+    return frame;
+}
+
+wire::AnswerFrame toWire(const AnswerEnd &end)
+{
+    wire::AnswerFrame frame;
+    frame.mutable_end()->set_received(end.received);
+    fill(*frame.mutable_end()->mutable_load(), end.load);
+    return frame;
+}
+
+wire::AnswerFrame toWire(const AnswerRefusal &refusal)
+{
+    wire::AnswerFrame frame;
+    wire::AnswerRefusal &to = *frame.mutable_refusal();
+    to.set_attempt(refusal.attempt.value());
+    to.set_verdict(static_cast<std::uint32_t>(refusal.verdict));
+    to.set_reason(static_cast<std::uint32_t>(refusal.reason));
+    to.set_retry_after_ms(milliseconds(refusal.retryAfter));
+    fill(*to.mutable_load(), refusal.load);
+    return frame;
+}
+
+AnswerHead fromWire(const wire::AnswerHead &head)
+{
+    AnswerHead read;
+    read.attempt = AttemptId(head.attempt());
+    read.status = static_cast<int>(head.status());
+    read.headers = readHeaders(head.headers());
+    if (head.has_length())
+        read.length = head.length();
+    return read;
+}
+
+AnswerEnd fromWire(const wire::AnswerEnd &end)
+{
+    return { end.received(), read(end.load()) };
+}
+
+AnswerRefusal fromWire(const wire::AnswerRefusal &refusal)
+{
+    AnswerRefusal to;
+    to.attempt = AttemptId(refusal.attempt());
+    // Values from a newer node that are not known here are read as the cautious choice.
+    to.verdict = refusal.verdict() == static_cast<std::uint32_t>(Verdict::NotRun)
+            ? Verdict::NotRun
+            : Verdict::MayHaveRun;
+    to.reason = refusal.reason() < ReasonCount ? static_cast<Reason>(refusal.reason())
+                                               : Reason::AnswerLost;
+    to.retryAfter = absl::Milliseconds(refusal.retry_after_ms());
+    to.load = read(refusal.load());
+    return to;
+}
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/decisions/include/godwitlift/base/Hashing.h
@@ -0,0 +1,18 @@
+/// \file
+/// Content digests and placement hashes, both from xxHash.
+#pragma once
+
+#include "godwitlift/base/StrongId.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace godwitlift {
+
+/// 128-bit digest of \p content as 32 hexadecimal characters.
+Digest digestOf(std::string_view content);
+
+/// 64-bit hash used for rendezvous placement and bucket digests.
+std::uint64_t hashOf(std::string_view content, std::uint64_t seed = 0);
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/decisions/src/base/Failure.cpp
@@ -0,0 +1,17 @@
+/// \file
+/// Text form of rejected inputs.
+#include "godwitlift/base/Failure.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+namespace godwitlift {
+
+std::string InputError::line() const
+{
+    return absl::StrJoin(faults, "; ", [](std::string *out, const InputFault &fault) {
+        absl::StrAppend(out, fault.path.empty() ? "input" : fault.path, ": ", fault.problem);
+    });
+}
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/decisions/src/configuration/ConfigurationHolder.cpp
@@ -0,0 +1,105 @@
+/// \file
+/// Checked replacement of the version in force.
+#include "godwitlift/configuration/ConfigurationHolder.h"
+
+#include "godwitlift/configuration/ConfigurationCodec.h"
+
+#include <cassert>
+
+namespace godwitlift {
+
+namespace {
+
+/// Steps kept for followers that fell behind; older ones fetch a snapshot.
+constexpr std::size_t StepLimit = 64;
+
+} // namespace
+
+ConfigurationHolder::ConfigurationHolder()
+{
+    auto empty = std::make_shared<VersionedConfiguration>();
+    empty->digest = digestOf(empty->content);
+    m_current = std::move(empty);
+}
+
+ApplyOutcome ConfigurationHolder::applySnapshot(Version version, const Digest &digest,
+                                                std::string_view text)
+{
+    if (version <= this->version())
+        return ApplyOutcome::NotNewer;
+    std::string problem;
+    auto content = valueOr([&] { return decodeConfiguration(text); }, problem);
+    if (!content)
+        return refuse(version, problem);
+    const ApplyOutcome outcome = accept(version, digest, std::move(*content));
+    if (outcome == ApplyOutcome::Applied)
+        m_steps.clear();
+    return outcome;
+}
+
+ApplyOutcome ConfigurationHolder::applyStep(const DeltaStep &step)
+{
+    if (step.to <= version())
+        return ApplyOutcome::NotNewer;
+    if (step.from != version())
+        return ApplyOutcome::Gap;
+    std::string problem;
+    const auto delta = valueOr([&] { return decodeDelta(step.text); }, problem);
+    if (!delta)
+        return refuse(step.to, problem);
+    const ApplyOutcome outcome = accept(step.to, step.digest, delta->appliedTo(m_current->content));
+    if (outcome == ApplyOutcome::Applied)
+        remember(step);
+    return outcome;
+}
+
+ApplyOutcome ConfigurationHolder::accept(Version version, const Digest &digest,
+                                         Configuration content)
+{
+    assert(version > this->version());
+    auto faults = content.faults();
+    if (!faults.empty())
+        return refuse(version, InputError{ std::move(faults) }.line());
+    if (digestOf(content) != digest)
+        return refuse(version, "the content does not match its digest");
+    auto next = std::make_shared<VersionedConfiguration>();
+    next->version = version;
+    next->digest = digest;
+    next->content = std::move(content);
+    m_current = std::move(next);
+    m_snapshotText.reset();
+    if (m_refused && m_refused->version <= version)
+        m_refused.reset();
+    return ApplyOutcome::Applied;
+}
+
+ApplyOutcome ConfigurationHolder::refuse(Version version, std::string problem)
+{
+    m_refused = RefusedVersion{ version, std::move(problem) };
+    return ApplyOutcome::Refused;
+}
+
+void ConfigurationHolder::remember(DeltaStep step)
+{
+    m_steps.push_back(std::move(step));
+    if (m_steps.size() > StepLimit)
+        m_steps.pop_front();
+}
+
+std::vector<DeltaStep> ConfigurationHolder::stepsFrom(Version held) const
+{
+    for (std::size_t i = 0; i < m_steps.size(); ++i) {
+        if (m_steps[i].from == held)
+            return { m_steps.begin() + static_cast<std::ptrdiff_t>(i), m_steps.end() };
+    }
+    return {};
+}
+
+const std::string &ConfigurationHolder::snapshotText() const
+{
+    if (!m_snapshotText)
+        m_snapshotText = encode(m_current->content);
+    return *m_snapshotText;
+}
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/decisions/src/membership/HostDirectory.cpp
@@ -0,0 +1,158 @@
+/// \file
+/// Merge of host records and their digests.
+#include "godwitlift/membership/HostDirectory.h"
+
+#include "godwitlift/base/Hashing.h"
+
+#include <algorithm>
+
+namespace godwitlift {
+
+std::uint64_t stampHash(const HostRecord &record)
+{
+    const std::uint64_t host = hashOf(record.host.value());
+    const std::uint64_t values[] = { record.stamp.incarnation.value(),
+                                     record.stamp.sequence.value(),
+                                     static_cast<std::uint64_t>(record.stamp.liveness) };
+    return hashOf({ reinterpret_cast<const char *>(values), sizeof(values) }, host);
+}
+
+void HostDirectory::enlist(const HostRecord &record)
+{
+    Zone &zone = m_zones[record.zone];
+    zone.digest ^= stampHash(record);
+    zone.hosts[record.host] = &record;
+    zone.members += record.isMember() ? 1 : 0;
+}
+
+void HostDirectory::delist(const HostRecord &record)
+{
+    const auto it = m_zones.find(record.zone);
+    it->second.digest ^= stampHash(record);
+    it->second.hosts.erase(record.host);
+    it->second.members -= record.isMember() ? 1 : 0;
+    if (it->second.hosts.empty())
+        m_zones.erase(it);
+}
+
+bool HostDirectory::merge(HostRecord record, absl::Time now)
+{
+    if (!record.isMember())
+        record.backendServers.clear();
+    const auto it = m_records.find(record.host);
+    if (it != m_records.end()) {
+        if (record.stamp <= it->second.stamp)
+            return false;
+        delist(it->second);
+    }
+    if (record.isMember())
+        m_gone.erase(record.host);
+    else
+        m_gone.insert_or_assign(record.host, now);
+    HostRecord &held = m_records[record.host];
+    held = std::move(record);
+    enlist(held);
+    return true;
+}
+
+const HostRecord *HostDirectory::find(const HostId &host) const
+{
+    const auto it = m_records.find(host);
+    return it == m_records.end() ? nullptr : &it->second;
+}
+
+std::vector<const HostRecord *> HostDirectory::members(const ZoneId &zone) const
+{
+    std::vector<const HostRecord *> found;
+    const auto it = m_zones.find(zone);
+    if (it == m_zones.end())
+        return found;
+    for (const auto &entry : it->second.hosts) {
+        if (entry.second->isMember())
+            found.push_back(entry.second);
+    }
+    return found;
+}
+
+std::vector<ZoneId> HostDirectory::zones() const
+{
+    std::vector<ZoneId> found;
+    for (const auto &[id, zone] : m_zones) {
+        if (zone.members > 0)
+            found.push_back(id);
+    }
+    return found;
+}
+
+std::size_t HostDirectory::memberCount(const ZoneId &zone) const
+{
+    const auto it = m_zones.find(zone);
+    return it == m_zones.end() ? 0 : it->second.members;
+}
+
+std::uint64_t HostDirectory::digest() const
+{
+    std::uint64_t all = 0;
+    for (const auto &entry : m_zones)
+        all ^= entry.second.digest;
+    return all;
+}
+
+std::vector<ZoneDigest> HostDirectory::zoneDigests() const
+{
+    std::vector<ZoneDigest> digests;
+    digests.reserve(m_zones.size());
+    for (const auto &[id, zone] : m_zones)
+        digests.push_back({ id, zone.digest });
+    return digests;
+}
+
+std::vector<StampedHost> HostDirectory::stamps(const ZoneId &zone) const
+{
+    std::vector<StampedHost> held;
+    const auto it = m_zones.find(zone);
+    if (it == m_zones.end())
+        return held;
+    held.reserve(it->second.hosts.size());
+    for (const auto &[host, record] : it->second.hosts)
+        held.push_back({ host, record->stamp });
+    return held;
+}
+
+StampComparison HostDirectory::compare(const ZoneId &zone,
+                                       const std::vector<StampedHost> &other) const
+{
+    StampComparison comparison;
+    absl::flat_hash_map<HostId, RecordStamp> known;
+    for (const StampedHost &entry : other) {
+        known.emplace(entry.host, entry.stamp);
+        const HostRecord *held = find(entry.host);
+        if (held == nullptr || held->stamp < entry.stamp)
+            comparison.olderHere = true;
+    }
+    const auto it = m_zones.find(zone);
+    if (it == m_zones.end())
+        return comparison;
+    for (const auto &[host, record] : it->second.hosts) {
+        const auto theirs = known.find(host);
+        if (theirs == known.end() || theirs->second < record->stamp)
+            comparison.newerHere.push_back(*record);
+    }
+    return comparison;
+}
+
+void HostDirectory::expire(absl::Time now)
+{
+    for (auto it = m_gone.begin(); it != m_gone.end();) {
+        if (now - it->second < RetentionTime) {
+            ++it;
+            continue;
+        }
+        const auto record = m_records.find(it->first);
+        delist(record->second);
+        m_records.erase(record);
+        it = m_gone.erase(it);
+    }
+}
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/decisions/src/node/ControlPlaneReceiver.cpp
@@ -0,0 +1,148 @@
+/// \file
+/// Handling of each kind of peer message.
+#include "godwitlift/node/ControlPlane.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace godwitlift {
+
+/// One message being handled. Lives only within ControlPlane::receive().
+struct ControlPlane::Receiver
+{
+    ControlPlane &plane;
+    const Peer &from;
+    absl::Time now;
+    ControlEffects &effects;
+
+    void reply(PeerMessage message) const
+    {
+        effects.sends.push_back({ from.address, std::move(message) });
+    }
+
+    void operator()(const FollowRequest &request) const
+    {
+        plane.m_configuration.noteKnown(request.held);
+        FollowAnswer answer;
+        answer.held = plane.configuration().version();
+        answer.presenceDigest = plane.directory().digest();
+        plane.offerTo(from.address, request.held, request.refused, now, effects,
+                      &answer);
+        if (request.isFollower) {
+            Follower follower{ from.address, request.held, request.refused, now, {} };
+            if (!request.reports.empty())
+                follower.report = request.reports.front();
+            plane.m_tree.heardFollower(from.host, std::move(follower));
+        } else {
+            for (const ZoneReport &report : request.reports) {
+                if (report.zone != plane.m_identity.zone)
+                    plane.m_fleet.merge(report);
+            }
+        }
+        reply(answer);
+        if (request.held > answer.held && request.held != plane.m_configuration.refusedVersion())
+            reply(plane.followRequest(false, now));
+    }
+
+    void operator()(const FollowAnswer &answer) const
+    {
+        plane.m_peerAnswered = true;
+        plane.m_configuration.noteKnown(answer.held);
+        plane.m_tree.answered(from.host, now);
+        if (!answer.isAdmitted)
+            plane.m_tree.deferUntil(now + answer.retryAfter);
+        if (plane.m_presence.differsPersistently(answer.presenceDigest, now))
+            reply(ZoneDigestsOffer{ plane.directory().zoneDigests() });
+    }
+
+    void operator()(const StepsOffer &offer) const
+    {
+        const Version before = plane.configuration().version();
+        const ConfigurationChange change = plane.m_configuration.takeSteps(offer.steps);
+        plane.configurationChanged(change, before, from, now, effects);
+    }
+
+    void operator()(const SnapshotRequest &request) const
+    {
+        plane.offerSnapshot(from.address, request.above, now, effects);
+    }
+
+    void operator()(const SnapshotOffer &offer) const
+    {
+        const Version before = plane.configuration().version();
+        const ConfigurationChange change = plane.m_configuration.takeSnapshot(offer.snapshot);
+        if (!change.applied && plane.m_configuration.refusedVersion() == offer.snapshot.version)
+            effects.logs.push_back(
+                    { "version_refused",
+                      { { "version", absl::StrCat(offer.snapshot.version.value()) },
+                        { "problem", plane.ownLag().problem } } });
+        plane.configurationChanged(change, before, from, now, effects);
+    }
+
+    void operator()(const RecordsOffer &offer) const
+    {
+        plane.spread(plane.m_presence.merge(offer.records, now), from.host, effects);
+    }
+
+    void operator()(const ZoneDigestsOffer &offer) const
+    {
+        for (PeerMessage &message : plane.m_presence.compareDigests(offer))
+            reply(std::move(message));
+    }
+
+    void operator()(const StampsOffer &offer) const
+    {
+        for (PeerMessage &message : plane.m_presence.compareStamps(offer))
+            reply(std::move(message));
+    }
+
+    void operator()(const Probe &probe) const
+    {
+        if (!probe.target.isEmpty() && probe.target != plane.m_identity.host) {
+            plane.send(probe.target, probe, effects);
+            return;
+        }
+        if (probe.origin == from.host || plane.directory().find(probe.origin) == nullptr)
+            reply(ProbeAnswer{ probe.number });
+        else
+            plane.send(probe.origin, ProbeAnswer{ probe.number }, effects);
+    }
+
+    void operator()(const ProbeAnswer &answer) const
+    {
+        plane.m_detector.acknowledged(answer.number);
+    }
+
+    void operator()(const StatusRequest &request) const
+    {
+        reply(StatusAnswer{ request.number, plane.reports(now) });
+    }
+
+    void operator()(const StatusAnswer &answer) const
+    {
+        const auto it = plane.m_statusRequests.find(answer.number);
+        if (it == plane.m_statusRequests.end())
+            return;
+        effects.answers.push_back({ it->second.request, FleetStatus{ answer.reports, {} } });
+        plane.m_statusRequests.erase(it);
+    }
+};
+
+ControlEffects ControlPlane::receive(const Peer &from, const PeerMessage &message, absl::Time now)
+{
+    ControlEffects effects;
+    std::visit(Receiver{ *this, from, now, effects }, message);
+    updateReadiness(now, effects);
+    return effects;
+}
+
+ControlEffects ControlPlane::platformAnswered(const PlatformAnswer &answer, absl::Time now)
+{
+    ControlEffects effects;
+    const Version before = configuration().version();
+    const ConfigurationChange change = m_configuration.platformAnswered(answer, now, effects);
+    configurationChanged(change, before, {}, now, effects);
+    updateReadiness(now, effects);
+    return effects;
+}
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/decisions/src/publishing/PublishedRecords.cpp
@@ -0,0 +1,129 @@
+/// \file
+/// JSON values of the platform's rows.
+#include "godwitlift/publishing/PublishedRecords.h"
+
+#include "godwitlift/json/ObjectReader.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <limits>
+
+namespace godwitlift {
+
+namespace {
+
+using nlohmann::json;
+
+std::string sortable(Version version)
+{
+    return absl::StrFormat("%020d", version.value());
+}
+
+std::string valueOf(const VersionRecord &record)
+{
+    return json{ { "version", record.version.value() },
+                 { "digest", record.digest.value() },
+                 { "operation", record.operation.value() },
+                 { "author", record.author },
+                 { "note", record.note },
+                 { "published_unix_ms", record.publishedUnixMs },
+                 { "touched", record.touched } }
+            .dump();
+}
+
+std::optional<json> parsedObject(const std::string &text)
+{
+    json value = json::parse(text, nullptr, false);
+    if (!value.is_object())
+        return std::nullopt;
+    return value;
+}
+
+} // namespace
+
+std::string VersionRecord::snapshotName() const
+{
+    return absl::StrCat("snapshot/", sortable(version), "-", digest.value());
+}
+
+std::string VersionRecord::deltaName() const
+{
+    return absl::StrCat("delta/", sortable(version), "-", digest.value());
+}
+
+std::string headKey()
+{
+    return "head";
+}
+
+std::string versionPrefix()
+{
+    return "version/";
+}
+
+std::string versionKey(Version version)
+{
+    return versionPrefix() + sortable(version);
+}
+
+std::string operationKey(const OperationId &operation)
+{
+    return "operation/" + operation.value();
+}
+
+TableRow toRow(const HeadRecord &head)
+{
+    const json value{ { "version", head.version.value() }, { "digest", head.digest.value() } };
+    return { headKey(), head.version.value(), value.dump() };
+}
+
+TableRow toRow(const VersionRecord &record)
+{
+    return { versionKey(record.version), record.version.value(), valueOf(record) };
+}
+
+TableRow toOperationRow(const VersionRecord &record)
+{
+    return { operationKey(record.operation), record.version.value(), valueOf(record) };
+}
+
+std::optional<HeadRecord> headFromRow(const TableRow &row)
+{
+    const auto value = parsedObject(row.value);
+    if (!value)
+        return std::nullopt;
+    std::vector<InputFault> faults;
+    ObjectReader reader(*value, "head", faults);
+    HeadRecord head;
+    head.version =
+            Version(reader.requiredInteger("version", 1, std::numeric_limits<std::int64_t>::max()));
+    head.digest = Digest(reader.text("digest"));
+    if (!faults.empty())
+        return std::nullopt;
+    return head;
+}
+
+std::optional<VersionRecord> versionFromRow(const TableRow &row)
+{
+    constexpr std::uint64_t Ceiling = std::numeric_limits<std::int64_t>::max();
+    const auto value = parsedObject(row.value);
+    if (!value)
+        return std::nullopt;
+    std::vector<InputFault> faults;
+    ObjectReader reader(*value, "version", faults);
+    VersionRecord record;
+    record.version = Version(reader.requiredInteger("version", 1, Ceiling));
+    record.digest = Digest(reader.text("digest"));
+    record.operation = OperationId(reader.text("operation"));
+    record.author = reader.text("author");
+    record.note = value->value("note", std::string());
+    record.publishedUnixMs =
+            static_cast<std::int64_t>(reader.integer("published_unix_ms", 0, Ceiling, 0));
+    record.touched = reader.texts("touched");
+    if (!faults.empty())
+        return std::nullopt;
+    return record;
+}
+
+} // namespace godwitlift
