--- a/packages/adapters/include/godwitlift/adapters/AnswerSink.h
+++ b/packages/adapters/include/godwitlift/adapters/AnswerSink.h
@@ -8,6 +8,8 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -66,7 +68,7 @@
 };
 
 /// Takes one answer: a head, any number of body parts and an end, or a refusal at any point.
-/// Calls come one at a time, from any thread. body() may block to slow the sender down.
+/// Calls come one at a time, from any thread, and none of them blocks.
 class AnswerSink
 {
 public:
@@ -75,6 +77,9 @@
     virtual void body(std::string_view part) = 0;
     virtual void end(const AnswerEnd &end) = 0;
     virtual void refuse(const AnswerRefusal &refusal) = 0;
+    /// Whether more of the body is wanted now. If not, \p resume is called once when it is, from
+    /// any thread; it may also be called when the answer is cancelled.
+    virtual bool wantsMore(std::function<void()> resume) = 0;
     /// Whether nobody wants the answer any more.
     virtual bool isCancelled() const = 0;
 };
--- a/packages/adapters/include/godwitlift/adapters/PeerTransport.h
+++ b/packages/adapters/include/godwitlift/adapters/PeerTransport.h
@@ -39,8 +39,7 @@
     /// Listens on \p address. \p meshSecret must be presented by every peer. \p handler and
     /// \p traffic must outlive the server.
     static Result<std::unique_ptr<PeerServer>> listen(const Address &address,
-                                                      std::string meshSecret,
-                                                      PeerHandler &handler,
+                                                      std::string meshSecret, PeerHandler &handler,
                                                       TrafficObserver &traffic);
     virtual void shutdown(absl::Duration grace) = 0;
 };
--- /dev/null
+++ b/packages/adapters/src/MicrohttpdServer.cpp
@@ -0,0 +1,421 @@
+/// \file
+/// libmicrohttpd behind the HttpServer interface.
+#include "godwitlift/adapters/HttpServer.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/synchronization/mutex.h>
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstring>
+
+namespace godwitlift {
+
+namespace {
+
+/// Answer bytes that may wait for a slow client before the sender is asked to pause.
+constexpr std::size_t BufferLimitBytes = 256 * 1024;
+constexpr std::size_t BlockBytes = 64 * 1024;
+constexpr std::size_t HeaderLimitBytes = 32 * 1024;
+constexpr int PayloadTooLarge = 413;
+
+using Resume = std::function<void()>;
+
+/// One request on a connection. Its lock is a leaf, except that libmicrohttpd's suspend and resume
+/// are called while it is held; callbacks are called without it.
+class Exchange final : public HttpExchange
+{
+public:
+    Exchange(MHD_Connection *connection, std::atomic<std::size_t> &inProgress)
+        : m_connection(connection)
+        , m_inProgress(inProgress)
+    {}
+
+    HttpRequest &editableRequest() { return m_request; }
+    const HttpRequest &request() const override { return m_request; }
+
+    void respond(int status, std::vector<HttpHeader> headers, std::string body) override
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_started)
+            return;
+        m_length = body.size();
+        m_buffer = std::move(body);
+        m_ended = true;
+        begin(status, std::move(headers));
+    }
+
+    void start(int status, std::vector<HttpHeader> headers,
+               std::optional<std::uint64_t> length) override
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_started)
+            return;
+        m_length = length;
+        begin(status, std::move(headers));
+    }
+
+    void write(std::string_view part) override
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_buffer.append(part);
+        wake();
+    }
+
+    void finish() override
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_ended = true;
+        wake();
+    }
+
+    void abort() override
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_failed = true;
+        wake();
+    }
+
+    bool wantsMore(Resume resume) override
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_closed || m_buffer.size() - m_offset < BufferLimitBytes)
+            return true;
+        m_resume = std::move(resume);
+        return false;
+    }
+
+    void onClosed(std::function<void()> closed) override
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_onClosed = std::move(closed);
+    }
+
+    /// Called on the server's thread until the head is there.
+    MHD_Result queueOrSuspend(const std::shared_ptr<Exchange> &self)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (!m_started) {
+            m_suspended = true;
+            MHD_suspend_connection(m_connection);
+            return MHD_YES;
+        }
+        auto *reference = new std::shared_ptr<Exchange>(self);
+        MHD_Response *response = MHD_create_response_from_callback(
+                m_length ? *m_length : MHD_SIZE_UNKNOWN, BlockBytes, &Exchange::readBlock,
+                reference, &Exchange::dropReference);
+        for (const HttpHeader &header : m_headers)
+            MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
+        const MHD_Result result =
+                MHD_queue_response(m_connection, static_cast<unsigned>(m_status), response);
+        MHD_destroy_response(response);
+        return result;
+    }
+
+    void connectionEnded(bool completed)
+    {
+        std::function<void()> closed;
+        Resume resume;
+        {
+            const absl::MutexLock lock(&m_mutex);
+            m_closed = true;
+            m_connection = nullptr;
+            if (!completed)
+                std::swap(closed, m_onClosed);
+            std::swap(resume, m_resume);
+            m_onClosed = nullptr;
+        }
+        --m_inProgress;
+        if (closed)
+            closed();
+        if (resume)
+            resume();
+    }
+
+    bool isDispatched = false; ///< Used by the server's thread only.
+    bool isTooLarge = false;   ///< Used by the server's thread only.
+
+private:
+    void begin(int status, std::vector<HttpHeader> headers) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+    {
+        m_status = status;
+        m_headers = std::move(headers);
+        m_started = true;
+        wake();
+    }
+
+    void wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+    {
+        if (!m_suspended || m_connection == nullptr)
+            return;
+        m_suspended = false;
+        MHD_resume_connection(m_connection);
+    }
+
+    static ssize_t readBlock(void *cls, std::uint64_t, char *buffer, std::size_t capacity)
+    {
+        return (*static_cast<std::shared_ptr<Exchange> *>(cls))->read(buffer, capacity);
+    }
+
+    static void dropReference(void *cls) { delete static_cast<std::shared_ptr<Exchange> *>(cls); }
+
+    ssize_t read(char *buffer, std::size_t capacity)
+    {
+        Resume resume;
+        std::size_t count = 0;
+        {
+            const absl::MutexLock lock(&m_mutex);
+            if (m_failed)
+                return MHD_CONTENT_READER_END_WITH_ERROR;
+            count = std::min(capacity, m_buffer.size() - m_offset);
+            if (count == 0) {
+                if (m_ended)
+                    return MHD_CONTENT_READER_END_OF_STREAM;
+                m_suspended = true;
+                MHD_suspend_connection(m_connection);
+                return 0;
+            }
+            std::memcpy(buffer, m_buffer.data() + m_offset, count);
+            m_offset += count;
+            if (m_offset == m_buffer.size()) {
+                m_buffer.clear();
+                m_offset = 0;
+            }
+            if (m_buffer.size() - m_offset < BufferLimitBytes)
+                std::swap(resume, m_resume);
+        }
+        if (resume)
+            resume();
+        return static_cast<ssize_t>(count);
+    }
+
+    absl::Mutex m_mutex;
+    MHD_Connection *m_connection; ///< Null once the connection has ended.
+    std::atomic<std::size_t> &m_inProgress;
+    HttpRequest m_request;
+    std::vector<HttpHeader> m_headers ABSL_GUARDED_BY(m_mutex);
+    std::optional<std::uint64_t> m_length ABSL_GUARDED_BY(m_mutex);
+    std::string m_buffer ABSL_GUARDED_BY(m_mutex);
+    std::size_t m_offset ABSL_GUARDED_BY(m_mutex) = 0; ///< Bytes of m_buffer already taken.
+    int m_status ABSL_GUARDED_BY(m_mutex) = 0;
+    bool m_started ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_ended ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_failed ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_suspended ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_closed ABSL_GUARDED_BY(m_mutex) = false;
+    Resume m_resume ABSL_GUARDED_BY(m_mutex);
+    std::function<void()> m_onClosed ABSL_GUARDED_BY(m_mutex);
+};
+
+MHD_Result addHeader(void *cls, MHD_ValueKind, const char *name, const char *value)
+{
+    auto *headers = static_cast<std::vector<HttpHeader> *>(cls);
+    headers->push_back({ name, value == nullptr ? "" : value });
+    return MHD_YES;
+}
+
+MHD_Result addArgument(void *cls, MHD_ValueKind, const char *name, const char *value)
+{
+    auto *target = static_cast<std::string *>(cls);
+    absl::StrAppend(target, target->find('?') == std::string::npos ? "?" : "&", name);
+    if (value != nullptr)
+        absl::StrAppend(target, "=", value);
+    return MHD_YES;
+}
+
+std::string addressOf(MHD_Connection *connection)
+{
+    const MHD_ConnectionInfo *info =
+            MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    char text[INET_ADDRSTRLEN] = "";
+    if (info != nullptr && info->client_addr->sa_family == AF_INET) {
+        const auto *address = reinterpret_cast<const sockaddr_in *>(info->client_addr);
+        inet_ntop(AF_INET, &address->sin_addr, text, sizeof(text));
+    }
+    return text;
+}
+
+class MicrohttpdServer final : public HttpServer
+{
+public:
+    MicrohttpdServer(HttpLimits limits, HttpHandler &handler)
+        : m_limits(limits)
+        , m_handler(handler)
+    {}
+    MicrohttpdServer(const MicrohttpdServer &) = delete;
+    MicrohttpdServer &operator=(const MicrohttpdServer &) = delete;
+    ~MicrohttpdServer() override
+    {
+        if (m_daemon != nullptr)
+            MHD_stop_daemon(m_daemon);
+    }
+
+    bool start(const std::string &ip, std::uint16_t port)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+        m_daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, port,
+                                    nullptr, nullptr, &MicrohttpdServer::access, this,
+                                    MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&address),
+                                    MHD_OPTION_THREAD_POOL_SIZE, m_limits.threads,
+                                    MHD_OPTION_CONNECTION_LIMIT, m_limits.connections,
+                                    MHD_OPTION_CONNECTION_TIMEOUT, m_limits.idleSeconds,
+                                    MHD_OPTION_CONNECTION_MEMORY_LIMIT, HeaderLimitBytes,
+                                    MHD_OPTION_NOTIFY_COMPLETED, &MicrohttpdServer::completed, this,
+                                    MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024U, MHD_OPTION_END);
+        return m_daemon != nullptr;
+    }
+
+    void stopAccepting() override
+    {
+        const MHD_socket socket = MHD_quiesce_daemon(m_daemon);
+        if (socket != MHD_INVALID_SOCKET)
+            ::close(socket);
+    }
+
+    std::size_t inProgress() const override { return m_inProgress; }
+
+private:
+    using Holder = std::shared_ptr<Exchange>;
+
+    static MHD_Result access(void *cls, MHD_Connection *connection, const char *url,
+                             const char *method, const char *, const char *data, std::size_t *size,
+                             void **state)
+    {
+        auto *server = static_cast<MicrohttpdServer *>(cls);
+        if (*state == nullptr) {
+            *state = server->open(connection, url, method);
+            return MHD_YES;
+        }
+        Holder &exchange = *static_cast<Holder *>(*state);
+        if (*size > 0) {
+            server->takeBody(*exchange, { data, *size });
+            *size = 0;
+            return MHD_YES;
+        }
+        return server->proceed(exchange);
+    }
+
+    Holder *open(MHD_Connection *connection, const char *url, const char *method)
+    {
+        auto *holder = new Holder(std::make_shared<Exchange>(connection, m_inProgress));
+        ++m_inProgress;
+        HttpRequest &request = (*holder)->editableRequest();
+        request.method = method;
+        request.path = url;
+        request.target = url;
+        request.clientAddress = addressOf(connection);
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &addHeader, &request.headers);
+        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &addArgument, &request.target);
+        return holder;
+    }
+
+    void takeBody(Exchange &exchange, std::string_view part) const
+    {
+        std::string &body = exchange.editableRequest().body;
+        if (body.size() + part.size() > m_limits.requestBytes)
+            exchange.isTooLarge = true;
+        else
+            body.append(part);
+    }
+
+    MHD_Result proceed(const Holder &exchange)
+    {
+        if (exchange->isDispatched)
+            return exchange->queueOrSuspend(exchange);
+        exchange->isDispatched = true;
+        if (exchange->isTooLarge) {
+            exchange->respond(
+                    PayloadTooLarge,
+                    { { "Godwitlift-Verdict", "not-run" }, { "Godwitlift-Reason", "too-large" } },
+                    "{\"verdict\":\"not-run\",\"reason\":\"too-large\"}\n");
+            return exchange->queueOrSuspend(exchange);
+        }
+        m_handler.handle(exchange);
+        return exchange->queueOrSuspend(exchange);
+    }
+
+    static void completed(void *, MHD_Connection *, void **state, MHD_RequestTerminationCode code)
+    {
+        auto *holder = static_cast<Holder *>(*state);
+        if (holder == nullptr)
+            return;
+        (*holder)->connectionEnded(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+        delete holder;
+        *state = nullptr;
+    }
+
+    HttpLimits m_limits;
+    HttpHandler &m_handler;
+    MHD_Daemon *m_daemon = nullptr;
+    std::atomic<std::size_t> m_inProgress = 0;
+};
+
+} // namespace
+
+std::string HttpRequest::header(std::string_view name) const
+{
+    const std::string wanted(name);
+    for (const HttpHeader &header : headers) {
+        if (absl::EqualsIgnoreCase(header.name, wanted))
+            return header.value;
+    }
+    return {};
+}
+
+std::string HttpRequest::query(std::string_view name) const
+{
+    const std::size_t start = target.find('?');
+    if (start == std::string::npos)
+        return {};
+    std::string_view rest = std::string_view(target).substr(start + 1);
+    while (!rest.empty()) {
+        const std::size_t end = rest.find('&');
+        const std::string_view pair = rest.substr(0, end);
+        if (pair.starts_with(name) && pair.size() > name.size() && pair[name.size()] == '=')
+            return std::string(pair.substr(name.size() + 1));
+        rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+    }
+    return {};
+}
+
+bool splitAddress(const Address &address, std::string &ip, std::uint16_t &port)
+{
+    const std::size_t colon = address.value().rfind(':');
+    if (colon == std::string::npos)
+        return false;
+    ip = address.value().substr(0, colon);
+    std::uint32_t number = 0;
+    in_addr parsed{};
+    if (inet_pton(AF_INET, ip.c_str(), &parsed) != 1
+        || !absl::SimpleAtoi(address.value().substr(colon + 1), &number) || number == 0
+        || number > UINT16_MAX)
+        return false;
+    port = static_cast<std::uint16_t>(number);
+    return true;
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::listen(const Address &address, HttpLimits limits,
+                                                       HttpHandler &handler)
+{
+    std::string ip;
+    std::uint16_t port = 0;
+    if (!splitAddress(address, ip, port))
+        return inputFailure("listen", "not an IP number and port: " + address.value());
+    auto server = std::make_unique<MicrohttpdServer>(limits, handler);
+    if (!server->start(ip, port))
+        return inputFailure("listen", "cannot listen on " + address.value());
+    return std::unique_ptr<HttpServer>(std::move(server));
+}
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/adapters/src/NodeRuntime.cpp
@@ -0,0 +1,263 @@
+/// \file
+/// Composition of a node and its timers.
+#include "godwitlift/adapters/NodeRuntime.h"
+
+#include "LocalApi.h"
+#include "OperatorApi.h"
+#include "ServingRuntime.h"
+#include "godwitlift/adapters/EventLog.h"
+#include "godwitlift/platform/MemoryPlatform.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <sys/resource.h>
+
+#include <atomic>
+#include <fstream>
+#include <random>
+#include <thread>
+
+#include <unistd.h>
+
+namespace godwitlift {
+
+namespace {
+
+constexpr absl::Duration ServingTick = absl::Milliseconds(10);
+constexpr int ServingTicksPerControlTick = 10;
+constexpr int ControlTicksPerSample = 10;
+constexpr absl::Duration DrainSpreadTime = absl::Milliseconds(500);
+constexpr absl::Duration ProgressPoll = absl::Milliseconds(20);
+
+/// Seeds from the operating system; the only randomness that is not passed in.
+class SystemRandom final : public RandomSource
+{
+public:
+    SystemRandom()
+        : m_engine(seed())
+    {}
+    std::uint64_t next() override { return m_engine(); }
+
+private:
+    static std::uint64_t seed()
+    {
+        std::random_device device;
+        return (static_cast<std::uint64_t>(device()) << 32U) | device();
+    }
+    std::mt19937_64 m_engine;
+};
+
+double processorSeconds()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto seconds = [](const timeval &time) {
+        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
+    };
+    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+double residentBytes()
+{
+    std::ifstream statm("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    statm >> total >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+std::unique_ptr<PlatformWorkers> createPlatform(const NodeSettings &settings)
+{
+    if (settings.platform == PlatformKind::Network)
+        return std::make_unique<PlatformWorkers>(createNetworkTable(settings.network),
+                                                 createNetworkObjects(settings.network));
+    return std::make_unique<PlatformWorkers>(std::make_unique<MemoryTableService>(),
+                                             std::make_unique<MemoryObjectStore>());
+}
+
+class Node final : public NodeRuntime, public PeerHandler
+{
+public:
+    explicit Node(NodeSettings settings)
+        : m_settings(std::move(settings))
+    {}
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+    ~Node() override { stop(); }
+
+    Result<void> open()
+    {
+        const NodeIdentity &identity = m_settings.identity;
+        m_metrics = Metrics::create();
+        m_peers = PeerClient::create({ identity.host, identity.address }, m_settings.meshSecret,
+                                     *m_metrics);
+        m_platform = createPlatform(m_settings);
+        m_backends = BackendClient::create();
+        BOOST_LEAF_AUTO(plane, ControlPlane::create(identity, m_settings.control, absl::Now(),
+                                                    m_controlRandom));
+        m_control = std::make_unique<ControlRuntime>(
+                std::move(plane), *m_peers, *m_platform, *m_metrics,
+                [this](const CompiledTable &table) { m_serving->setTable(table); });
+        m_serving = std::make_unique<ServingRuntime>(identity, m_settings.ingress, m_servingRandom,
+                                                     *m_control, *m_peers, *m_platform, *m_backends,
+                                                     *m_metrics);
+        m_operatorApi = std::make_unique<OperatorApi>(m_settings.operatorCredentials, *m_control);
+        m_localApi = std::make_unique<LocalApi>(*m_control, *m_serving, *m_metrics);
+        return listen();
+    }
+
+    bool shutdownGracefully() override
+    {
+        m_serving->drain();
+        m_control->feed(
+                [](ControlPlane &plane, absl::Time now) { return plane.beginShutdown(now); });
+        const absl::Time deadline = absl::Now() + m_settings.shutdownTimeout;
+        // Peers learn of the drain while their requests still get true refusals here.
+        absl::SleepFor(DrainSpreadTime);
+        while (isBusy() && absl::Now() < deadline)
+            absl::SleepFor(ProgressPoll);
+        const bool idle = !isBusy();
+        m_control->feed([](ControlPlane &plane, absl::Time now) { return plane.leave(now); });
+        absl::SleepFor(DrainSpreadTime);
+        logEvent({ "shutdown", { { "clean", idle ? "true" : "false" } } });
+        stop();
+        return idle;
+    }
+
+    void messageArrived(const Peer &from, const PeerMessage &message) override
+    {
+        m_control->feed([&](ControlPlane &plane, absl::Time now) {
+            return plane.receive(from, message, now);
+        });
+    }
+
+    void callArrived(ForwardedCall call, std::shared_ptr<AnswerSink> sink) override
+    {
+        m_serving->callArrived(std::move(call), std::move(sink));
+    }
+
+private:
+    /// Keys are issued to callers on the callers' address, beside their calls.
+    class CallsHandler final : public HttpHandler
+    {
+    public:
+        explicit CallsHandler(ServingRuntime &serving)
+            : m_serving(serving)
+        {}
+        void handle(std::shared_ptr<HttpExchange> exchange) override
+        {
+            if (exchange->request().path != "/.godwitlift/keys") {
+                m_serving.handle(std::move(exchange));
+                return;
+            }
+            exchange->respond(200, { { "Content-Type", "text/plain" } },
+                              m_serving.issueKey().value() + "\n");
+        }
+
+    private:
+        ServingRuntime &m_serving;
+    };
+
+    Result<void> listen()
+    {
+        HttpLimits callLimits;
+        callLimits.requestBytes = m_settings.requestLimitBytes;
+        HttpLimits smallLimits;
+        smallLimits.connections = 64;
+        smallLimits.threads = 1;
+        m_callsHandler = std::make_unique<CallsHandler>(*m_serving);
+        BOOST_LEAF_ASSIGN(m_peerServer, PeerServer::listen(m_settings.peers, m_settings.meshSecret,
+                                                           *this, *m_metrics));
+        BOOST_LEAF_ASSIGN(m_callServer,
+                          HttpServer::listen(m_settings.calls, callLimits, *m_callsHandler));
+        BOOST_LEAF_ASSIGN(m_operatorServer,
+                          HttpServer::listen(m_settings.operators, smallLimits, *m_operatorApi));
+        BOOST_LEAF_ASSIGN(m_localServer,
+                          HttpServer::listen(m_settings.local, smallLimits, *m_localApi));
+        m_ticker = std::thread([this] { runTimers(); });
+        logEvent({ "node_started",
+                   { { "zone", m_settings.identity.zone.value() },
+                     { "peers", m_settings.peers.value() },
+                     { "calls", m_settings.calls.value() },
+                     { "incarnation", absl::StrCat(m_settings.identity.incarnation.value()) } } });
+        return {};
+    }
+
+    void runTimers()
+    {
+        int ticks = 0;
+        while (!m_stopping) {
+            if (ticks % ServingTicksPerControlTick == 0)
+                controlTick(ticks / ServingTicksPerControlTick);
+            m_serving->tick();
+            ++ticks;
+            absl::SleepFor(ServingTick);
+        }
+    }
+
+    void controlTick(int count)
+    {
+        m_control->feed([](ControlPlane &plane, absl::Time now) { return plane.tick(now); });
+        if (count % ControlTicksPerSample != 0)
+            return;
+        const NodeView view = m_control->view();
+        if (view.isReady)
+            m_serving->setReady();
+        m_metrics->hosts(view.hosts);
+        m_metrics->processorSeconds(processorSeconds());
+        m_metrics->residentBytes(residentBytes());
+    }
+
+    bool isBusy() const { return m_serving->inProgress() > 0 || m_callServer->inProgress() > 0; }
+
+    /// Ends threads before what they use; called once or more.
+    void stop()
+    {
+        m_stopping = true;
+        if (m_ticker.joinable())
+            m_ticker.join();
+        m_callServer.reset();
+        m_operatorServer.reset();
+        m_localServer.reset();
+        if (m_peerServer != nullptr)
+            m_peerServer->shutdown(absl::Milliseconds(200));
+        if (m_platform != nullptr)
+            m_platform->stop();
+        if (m_peers != nullptr)
+            m_peers->shutdown();
+        m_backends.reset();
+    }
+
+    NodeSettings m_settings;
+    SystemRandom m_controlRandom; ///< Used under the control lock.
+    SystemRandom m_servingRandom; ///< Used under the serving lock.
+    std::unique_ptr<Metrics> m_metrics;
+    std::unique_ptr<PeerClient> m_peers;
+    std::unique_ptr<PlatformWorkers> m_platform;
+    std::unique_ptr<ControlRuntime> m_control;
+    std::unique_ptr<BackendClient> m_backends;
+    std::unique_ptr<ServingRuntime> m_serving;
+    std::unique_ptr<OperatorApi> m_operatorApi;
+    std::unique_ptr<LocalApi> m_localApi;
+    std::unique_ptr<CallsHandler> m_callsHandler;
+    std::unique_ptr<PeerServer> m_peerServer;
+    std::unique_ptr<HttpServer> m_callServer;
+    std::unique_ptr<HttpServer> m_operatorServer;
+    std::unique_ptr<HttpServer> m_localServer;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_ticker;
+};
+
+} // namespace
+
+Result<std::unique_ptr<NodeRuntime>> NodeRuntime::start(NodeSettings settings)
+{
+    settings.identity.incarnation =
+            Incarnation(static_cast<std::uint64_t>(absl::ToUnixMillis(absl::Now())));
+    auto node = std::make_unique<Node>(std::move(settings));
+    BOOST_LEAF_CHECK(node->open());
+    return std::unique_ptr<NodeRuntime>(std::move(node));
+}
+
+} // namespace godwitlift
--- a/packages/adapters/src/PeerCodec.cpp
+++ b/packages/adapters/src/PeerCodec.cpp
@@ -113,8 +113,8 @@
         server.service = ServiceId(entry.service());
         server.address = Address(entry.address());
         server.slots = entry.slots();
-        server.state = entry.is_draining() ? BackendServerState::Draining
-                                           : BackendServerState::Ready;
+        server.state =
+                entry.is_draining() ? BackendServerState::Draining : BackendServerState::Ready;
         server.startedUnixMs = entry.started_unix_ms();
         record.backendServers.push_back(std::move(server));
     }
@@ -268,10 +268,10 @@
 bool exceedsBounds(const wire::Envelope &envelope)
 {
     return envelope.records_offer().records_size() > RecordLimit
-            || envelope.stamps_offer().stamps_size() > StampLimit
-            || envelope.zone_digests().digests_size() > ReportLimit
-            || envelope.follow_request().reports_size() > ReportLimit
-            || envelope.status_answer().reports_size() > ReportLimit;
+           || envelope.stamps_offer().stamps_size() > StampLimit
+           || envelope.zone_digests().digests_size() > ReportLimit
+           || envelope.follow_request().reports_size() > ReportLimit
+           || envelope.status_answer().reports_size() > ReportLimit;
 }
 
 void fill(wire::Load &to, const GateLoad &load)
@@ -452,8 +452,8 @@
     to.attempt = AttemptId(refusal.attempt());
     // Values from a newer node that are not known here are read as the cautious choice.
     to.verdict = refusal.verdict() == static_cast<std::uint32_t>(Verdict::NotRun)
-            ? Verdict::NotRun
-            : Verdict::MayHaveRun;
+                         ? Verdict::NotRun
+                         : Verdict::MayHaveRun;
     to.reason = refusal.reason() < ReasonCount ? static_cast<Reason>(refusal.reason())
                                                : Reason::AnswerLost;
     to.retryAfter = absl::Milliseconds(refusal.retry_after_ms());
--- /dev/null
+++ b/packages/adapters/src/PlanText.cpp
@@ -0,0 +1,164 @@
+/// \file
+/// JSON forms of the operators' API.
+#include "PlanText.h"
+
+#include "godwitlift/configuration/ConfigurationCodec.h"
+#include "godwitlift/json/ObjectReader.h"
+
+#include <limits>
+
+namespace godwitlift {
+
+namespace {
+
+using nlohmann::json;
+
+const char *kindText(PlannedChange::Kind kind)
+{
+    switch (kind) {
+    case PlannedChange::Kind::Add:
+        return "add";
+    case PlannedChange::Kind::Replace:
+        return "replace";
+    case PlannedChange::Kind::Remove:
+        break;
+    }
+    return "remove";
+}
+
+/// The single object inside the canonical text of a one-object configuration.
+json singleObject(const std::string &text)
+{
+    if (text.empty())
+        return nullptr;
+    const json configuration = json::parse(text);
+    for (const auto &kind : configuration.items()) {
+        if (!kind.value().empty())
+            return kind.value().begin().value();
+    }
+    return nullptr;
+}
+
+json toJson(const VersionRecord &record)
+{
+    return json{ { "version", record.version.value() },
+                 { "digest", record.digest.value() },
+                 { "operation", record.operation.value() },
+                 { "author", record.author },
+                 { "note", record.note },
+                 { "published_unix_ms", record.publishedUnixMs },
+                 { "touched", record.touched } };
+}
+
+json toJson(const ZoneReport &report)
+{
+    json lagging = json::array();
+    for (const LaggingHost &host : report.lagging) {
+        json entry{ { "host", host.host.value() }, { "held", host.held.value() } };
+        if (host.refused != Version()) {
+            entry["refused"] = host.refused.value();
+            entry["problem"] = host.problem;
+        }
+        lagging.push_back(std::move(entry));
+    }
+    return json{ { "zone", report.zone.value() },        { "hosts", report.hosts },
+                 { "lowest", report.lowest.value() },    { "refusals", report.refusals },
+                 { "as_of_unix_ms", report.asOfUnixMs }, { "lagging", std::move(lagging) } };
+}
+
+/// JSON of each way a publication can end.
+struct EndWriter
+{
+    json operator()(const Published &end) const
+    {
+        json value = toJson(end.record);
+        value["outcome"] = "published";
+        return value;
+    }
+    json operator()(const Conflict &end) const
+    {
+        return json{ { "outcome", "conflict" }, { "problem", end.problem } };
+    }
+    json operator()(const PlanRejected &end) const
+    {
+        return json{ { "outcome", "rejected" }, { "problem", end.problem } };
+    }
+    json operator()(const PublishingFailed &end) const
+    {
+        return json{ { "outcome", end.mayApply ? "unknown" : "failed" },
+                     { "problem", end.problem } };
+    }
+};
+
+} // namespace
+
+json toJson(const Plan &plan)
+{
+    json changes = json::array();
+    for (const PlannedChange &change : plan.changes())
+        changes.push_back(json{ { "object", change.item.text() },
+                                { "kind", kindText(change.kind) },
+                                { "before", singleObject(change.before) },
+                                { "after", singleObject(change.after) } });
+    return json{ { "base", plan.base().value() },
+                 { "plan", plan.digest().value() },
+                 { "changes_digest", plan.changesDigest().value() },
+                 { "delta", json::parse(encode(plan.delta())) },
+                 { "changes", std::move(changes) } };
+}
+
+json toJson(const PublicationEnd &end)
+{
+    return std::visit(EndWriter(), end);
+}
+
+json toJson(const HistoryListing &listing)
+{
+    json versions = json::array();
+    for (const VersionRecord &record : listing.versions)
+        versions.push_back(toJson(record));
+    return json{ { "versions", std::move(versions) }, { "problem", listing.problem } };
+}
+
+json toJson(const FleetStatus &status, const NodeView &node)
+{
+    json zones = json::array();
+    for (const ZoneReport &report : status.reports)
+        zones.push_back(toJson(report));
+    return json{ { "zones", std::move(zones) },
+                 { "problem", status.problem },
+                 { "node",
+                   { { "version", node.version.value() },
+                     { "ready", node.isReady },
+                     { "watches_platform", node.isWatchingPlatform },
+                     { "platform_reachable", node.isPlatformReachable },
+                     { "doubts_itself", node.isDoubtingItself },
+                     { "level", node.level },
+                     { "parent", node.parent.value() },
+                     { "hosts", node.hosts } } } };
+}
+
+Result<Confirmation> decodeConfirmation(std::string_view text)
+{
+    BOOST_LEAF_AUTO(document, parseJson(text));
+    std::vector<InputFault> faults;
+    ObjectReader reader(document, "", faults);
+    Confirmation confirmation;
+    confirmation.operation = OperationId(reader.text("operation"));
+    if (!confirmation.operation.isEmpty() && !isIdentifier(confirmation.operation.value()))
+        reader.fault("operation", "not an identifier");
+    confirmation.note = reader.textOr("note", "-").substr(0, 500);
+    confirmation.base =
+            Version(reader.requiredInteger("base", 0, std::numeric_limits<std::int64_t>::max()));
+    confirmation.changesDigest = Digest(reader.text("changes_digest"));
+    const json *delta = reader.object("delta");
+    if (delta == nullptr && !reader.has("delta"))
+        reader.fault("delta", "missing");
+    reader.finish();
+    if (!faults.empty())
+        return boost::leaf::new_error(InputError{ std::move(faults) });
+    BOOST_LEAF_ASSIGN(confirmation.delta, decodeDelta(delta->dump()));
+    return confirmation;
+}
+
+} // namespace godwitlift
--- a/packages/decisions/include/godwitlift/base/RandomSource.h
+++ b/packages/decisions/include/godwitlift/base/RandomSource.h
@@ -25,7 +25,9 @@
 class SeededRandom final : public RandomSource
 {
 public:
-    explicit SeededRandom(std::uint64_t seed) : m_engine(seed) { }
+    explicit SeededRandom(std::uint64_t seed)
+        : m_engine(seed)
+    {}
     std::uint64_t next() override { return m_engine(); }
 
 private:
--- a/packages/decisions/include/godwitlift/base/StrongId.h
+++ b/packages/decisions/include/godwitlift/base/StrongId.h
@@ -17,7 +17,9 @@
 {
 public:
     StrongId() = default;
-    explicit StrongId(std::string value) : m_value(std::move(value)) { }
+    explicit StrongId(std::string value)
+        : m_value(std::move(value))
+    {}
 
     const std::string &value() const { return m_value; }
     bool isEmpty() const { return m_value.empty(); }
@@ -46,7 +48,9 @@
 {
 public:
     constexpr StrongNumber() = default;
-    constexpr explicit StrongNumber(std::uint64_t value) : m_value(value) { }
+    constexpr explicit StrongNumber(std::uint64_t value)
+        : m_value(value)
+    {}
 
     constexpr std::uint64_t value() const { return m_value; }
     constexpr StrongNumber next() const { return StrongNumber(m_value + 1); }
--- a/packages/decisions/include/godwitlift/configuration/Configuration.h
+++ b/packages/decisions/include/godwitlift/configuration/Configuration.h
@@ -18,10 +18,10 @@
 struct Rank
 {
     RankId id;
-    int urgency = 0; ///< 0 is the most urgent; unique among ranks.
-    double floorShare = 0; ///< Share of slots kept for this rank while it has work.
-    double ceilingShare = 1; ///< Share of slots the rank may hold at most.
-    double retryRatio = 0.1; ///< Retries allowed for each first attempt.
+    int urgency = 0;               ///< 0 is the most urgent; unique among ranks.
+    double floorShare = 0;         ///< Share of slots kept for this rank while it has work.
+    double ceilingShare = 1;       ///< Share of slots the rank may hold at most.
+    double retryRatio = 0.1;       ///< Retries allowed for each first attempt.
     std::uint32_t queueLimit = 64; ///< Requests of the rank that may wait at one gate.
 
     friend bool operator==(const Rank &, const Rank &) = default;
@@ -31,7 +31,7 @@
 struct Service
 {
     ServiceId id;
-    std::set<ZoneId> zones; ///< Zones whose backend servers may take work; empty means all.
+    std::set<ZoneId> zones;         ///< Zones whose backend servers may take work; empty means all.
     std::set<HostId> withheldHosts; ///< Hosts whose backend servers get no new work.
     absl::Duration slowStart; ///< Time over which a cold backend server reaches its full slots.
 
@@ -41,7 +41,7 @@
 /// Whether a request may reach a backend server more than once.
 enum class Repeatability : std::uint8_t {
     Repeatable, ///< Running it again is harmless.
-    AtMostOnce ///< Needs an idempotency key and runs at most once under that key.
+    AtMostOnce  ///< Needs an idempotency key and runs at most once under that key.
 };
 
 /// Leads requests of one path prefix to a service at a rank.
@@ -52,8 +52,8 @@
     ServiceId service;
     RankId rank;
     Repeatability repeatability = Repeatability::Repeatable;
-    absl::Duration deadline; ///< Upper bound for a request whose caller states none.
-    absl::Duration stallTimeout; ///< Longest pause of an answer's transfer.
+    absl::Duration deadline;        ///< Upper bound for a request whose caller states none.
+    absl::Duration stallTimeout;    ///< Longest pause of an answer's transfer.
     std::uint64_t requestLimit = 0; ///< Largest request body in bytes.
 
     friend bool operator==(const Route &, const Route &) = default;
--- a/packages/decisions/include/godwitlift/configuration/ConfigurationHolder.h
+++ b/packages/decisions/include/godwitlift/configuration/ConfigurationHolder.h
@@ -16,16 +16,16 @@
 {
     Version from;
     Version to;
-    Digest digest; ///< Digest of the configuration after the step.
+    Digest digest;    ///< Digest of the configuration after the step.
     std::string text; ///< Canonical JSON of the delta.
 };
 
 /// What became of an offered version.
 enum class ApplyOutcome : std::uint8_t {
-    Applied, ///< The offered version is now in force, whole.
+    Applied,  ///< The offered version is now in force, whole.
     NotNewer, ///< The held version is the same or higher.
-    Gap, ///< The step starts at another version than the held one.
-    Refused ///< A check failed; the held version stays in force.
+    Gap,      ///< The step starts at another version than the held one.
+    Refused   ///< A check failed; the held version stays in force.
 };
 
 /// A version that failed its checks, kept for the report to the operator.
--- a/packages/decisions/include/godwitlift/configuration/Plan.h
+++ b/packages/decisions/include/godwitlift/configuration/Plan.h
@@ -2,8 +2,8 @@
 /// The answer to an intent: what would change, bound to the version it was made from.
 #pragma once
 
-#include "godwitlift/configuration/VersionedConfiguration.h"
 #include "godwitlift/configuration/ConfigurationDelta.h"
+#include "godwitlift/configuration/VersionedConfiguration.h"
 
 #include <string>
 #include <vector>
@@ -18,7 +18,7 @@
     ItemName item;
     Kind kind = Kind::Add;
     std::string before; ///< Canonical JSON of the object, empty if added.
-    std::string after; ///< Canonical JSON of the object, empty if removed.
+    std::string after;  ///< Canonical JSON of the object, empty if removed.
 
     friend bool operator==(const PlannedChange &, const PlannedChange &) = default;
 };
--- a/packages/decisions/include/godwitlift/distribution/AdmissionBucket.h
+++ b/packages/decisions/include/godwitlift/distribution/AdmissionBucket.h
@@ -13,9 +13,10 @@
 {
 public:
     AdmissionBucket(double perSecond, double burst)
-        : m_perSecond(perSecond), m_burst(burst), m_tokens(burst)
-    {
-    }
+        : m_perSecond(perSecond)
+        , m_burst(burst)
+        , m_tokens(burst)
+    {}
 
     bool tryTake(absl::Time now, double tokens = 1)
     {
@@ -37,7 +38,8 @@
     {
         if (now > m_filled) {
             if (m_filled != absl::InfinitePast())
-                m_tokens = std::min(m_burst, m_tokens + absl::ToDoubleSeconds(now - m_filled) * m_perSecond);
+                m_tokens = std::min(m_burst,
+                                    m_tokens + absl::ToDoubleSeconds(now - m_filled) * m_perSecond);
             m_filled = now;
         }
     }
--- a/packages/decisions/include/godwitlift/distribution/Backoff.h
+++ b/packages/decisions/include/godwitlift/distribution/Backoff.h
@@ -12,7 +12,10 @@
 class Backoff final
 {
 public:
-    Backoff(absl::Duration base, absl::Duration ceiling) : m_base(base), m_ceiling(ceiling) { }
+    Backoff(absl::Duration base, absl::Duration ceiling)
+        : m_base(base)
+        , m_ceiling(ceiling)
+    {}
 
     /// Delay after one more failure.
     absl::Duration failed(RandomSource &random);
--- a/packages/decisions/include/godwitlift/distribution/PeerMessages.h
+++ b/packages/decisions/include/godwitlift/distribution/PeerMessages.h
@@ -18,7 +18,7 @@
 {
     HostId host;
     Version held;
-    Version refused; ///< 0 if none.
+    Version refused;     ///< 0 if none.
     std::string problem; ///< Why it was refused; empty if none.
 
     friend bool operator==(const LaggingHost &, const LaggingHost &) = default;
@@ -28,11 +28,11 @@
 struct ZoneReport
 {
     ZoneId zone;
-    std::uint32_t hosts = 0; ///< Hosts counted below the reporter, itself included.
-    Version lowest; ///< Lowest version held among them.
-    std::uint32_t refusals = 0; ///< Hosts with a refused version.
+    std::uint32_t hosts = 0;          ///< Hosts counted below the reporter, itself included.
+    Version lowest;                   ///< Lowest version held among them.
+    std::uint32_t refusals = 0;       ///< Hosts with a refused version.
     std::vector<LaggingHost> lagging; ///< A bounded sample, furthest behind first.
-    std::int64_t asOfUnixMs = 0; ///< When the zone's root made it; the newest report is kept.
+    std::int64_t asOfUnixMs = 0;      ///< When the zone's root made it; the newest report is kept.
 
     friend bool operator==(const ZoneReport &, const ZoneReport &) = default;
 };
--- a/packages/decisions/include/godwitlift/distribution/RelayTopology.h
+++ b/packages/decisions/include/godwitlift/distribution/RelayTopology.h
@@ -11,9 +11,9 @@
 
 /// Level of a node in its zone's tree.
 enum class RelayLevel : std::uint8_t {
-    Root, ///< Watches the platform and exchanges with the roots of other zones.
+    Root,  ///< Watches the platform and exchanges with the roots of other zones.
     Relay, ///< Follows a root and is followed by leaves.
-    Leaf ///< Follows a relay.
+    Leaf   ///< Follows a relay.
 };
 
 std::string_view name(RelayLevel level);
@@ -21,7 +21,7 @@
 /// Shape of the fan-out within a zone.
 enum class FanOutShape : std::uint8_t {
     Tree, ///< Roots, relays and leaves.
-    Flat ///< Every node follows a root; kept for comparison.
+    Flat  ///< Every node follows a root; kept for comparison.
 };
 
 /// Computes levels and parents by rendezvous hashing. Stateless: two nodes with the same view get
--- a/packages/decisions/include/godwitlift/membership/FailureDetector.h
+++ b/packages/decisions/include/godwitlift/membership/FailureDetector.h
@@ -19,7 +19,7 @@
     absl::Duration probePeriod = absl::Seconds(1);
     absl::Duration directTimeout = absl::Milliseconds(400); ///< Before other hosts are asked.
     absl::Duration probeTimeout = absl::Milliseconds(1200); ///< Before the target is suspected.
-    absl::Duration suspicionTime = absl::Seconds(4); ///< For the suspect to refute.
+    absl::Duration suspicionTime = absl::Seconds(4);        ///< For the suspect to refute.
     int indirectProbes = 3; ///< Hosts asked to probe in this node's place.
 };
 
--- a/packages/decisions/include/godwitlift/membership/HostRecord.h
+++ b/packages/decisions/include/godwitlift/membership/HostRecord.h
@@ -32,7 +32,7 @@
 {
     BackendServerId id;
     ServiceId service;
-    Address address; ///< Where its own host's node reaches it.
+    Address address;         ///< Where its own host's node reaches it.
     std::uint32_t slots = 0; ///< Requests it can run at a time.
     BackendServerState state = BackendServerState::Ready;
     std::int64_t startedUnixMs = 0; ///< Start of its warm-up.
@@ -55,10 +55,7 @@
     std::vector<BackendServer> backendServers; ///< Sorted by id; empty once dead or left.
 
     /// Whether peers may follow the host or send it work.
-    bool isMember() const
-    {
-        return stamp.liveness != Liveness::Dead && state != HostState::Left;
-    }
+    bool isMember() const { return stamp.liveness != Liveness::Dead && state != HostState::Left; }
 
     friend bool operator==(const HostRecord &, const HostRecord &) = default;
 };
--- a/packages/decisions/include/godwitlift/membership/PresenceSync.h
+++ b/packages/decisions/include/godwitlift/membership/PresenceSync.h
@@ -53,7 +53,7 @@
     LocalBackendServers m_backendServers;
     HostState m_state = HostState::Serving;
     RecordStamp m_stamp;
-    absl::Time m_changed; ///< Time of the last change of the directory.
+    absl::Time m_changed;  ///< Time of the last change of the directory.
     int m_differences = 0; ///< Consecutive differing digests heard from peers.
 };
 
--- a/packages/decisions/include/godwitlift/node/ControlEffects.h
+++ b/packages/decisions/include/godwitlift/node/ControlEffects.h
@@ -34,7 +34,7 @@
 struct HistoryListing
 {
     std::vector<VersionRecord> versions; ///< Oldest first.
-    std::string problem; ///< Not empty if the platform did not answer.
+    std::string problem;                 ///< Not empty if the platform did not answer.
 };
 
 struct FleetStatus
--- a/packages/decisions/include/godwitlift/node/ControlPlane.h
+++ b/packages/decisions/include/godwitlift/node/ControlPlane.h
@@ -23,10 +23,10 @@
     FollowPolicy follow;
     FailureDetectorPolicy detector;
     PublishingPolicy publishing;
-    absl::Duration joinTimeout = absl::Seconds(5); ///< Time to ask for the newest version.
-    absl::Duration joinQuiet = absl::Seconds(2); ///< Peers are asked before the platform is.
+    absl::Duration joinTimeout = absl::Seconds(5);   ///< Time to ask for the newest version.
+    absl::Duration joinQuiet = absl::Seconds(2);     ///< Peers are asked before the platform is.
     absl::Duration comparePeriod = absl::Seconds(5); ///< Between comparisons with random peers.
-    absl::Duration rootPeriod = absl::Seconds(1); ///< Between comparisons of roots across zones.
+    absl::Duration rootPeriod = absl::Seconds(1);    ///< Between comparisons of roots across zones.
     absl::Duration statusTimeout = absl::Seconds(2);
     double snapshotBytesPerSecond = 2e6; ///< Snapshots that a node hands out.
     double snapshotBurstBytes = 8e6;
@@ -48,9 +48,8 @@
 {
 public:
     /// \p random must outlive the control plane.
-    static Result<std::unique_ptr<ControlPlane>> create(NodeIdentity identity,
-                                                        ControlPolicy policy, absl::Time now,
-                                                        RandomSource &random);
+    static Result<std::unique_ptr<ControlPlane>> create(NodeIdentity identity, ControlPolicy policy,
+                                                        absl::Time now, RandomSource &random);
 
     ControlEffects tick(absl::Time now);
     ControlEffects receive(const Peer &from, const PeerMessage &message, absl::Time now);
@@ -81,8 +80,7 @@
     std::vector<BackendServer> ownBackendServers() const;
 
 private:
-    ControlPlane(NodeIdentity identity, ControlPolicy policy, absl::Time now,
-                 RandomSource &random);
+    ControlPlane(NodeIdentity identity, ControlPolicy policy, absl::Time now, RandomSource &random);
 
     /// Handles one kind of message; see receive().
     struct Receiver;
--- a/packages/decisions/include/godwitlift/node/NodeIdentity.h
+++ b/packages/decisions/include/godwitlift/node/NodeIdentity.h
@@ -13,9 +13,9 @@
     HostId host;
     ZoneId zone;
     RegionId region;
-    Address address; ///< Where peers reach this node.
+    Address address;            ///< Where peers reach this node.
     std::vector<Address> seeds; ///< Peers to ask first, named in the settings.
-    Incarnation incarnation; ///< Grows with each start of the process on this host.
+    Incarnation incarnation;    ///< Grows with each start of the process on this host.
 };
 
 } // namespace godwitlift
--- a/packages/decisions/include/godwitlift/platform/PlatformMessages.h
+++ b/packages/decisions/include/godwitlift/platform/PlatformMessages.h
@@ -89,8 +89,8 @@
     Ok,
     NotFound,
     ConditionFailed, ///< The transaction applied nothing.
-    Unavailable, ///< The platform refused; nothing was applied.
-    Unknown ///< No answer; the write may have been applied, now or later.
+    Unavailable,     ///< The platform refused; nothing was applied.
+    Unknown          ///< No answer; the write may have been applied, now or later.
 };
 
 std::string_view name(PlatformOutcome outcome);
@@ -106,7 +106,7 @@
     PlatformRequestId id;
     PlatformOutcome outcome = PlatformOutcome::Unknown;
     std::vector<TableRow> rows; ///< Of FetchRow and ScanRows.
-    std::string content; ///< Of FetchObject.
+    std::string content;        ///< Of FetchObject.
 };
 
 } // namespace godwitlift
--- a/packages/decisions/include/godwitlift/publishing/ConfigurationSync.h
+++ b/packages/decisions/include/godwitlift/publishing/ConfigurationSync.h
@@ -21,15 +21,15 @@
     absl::Duration pollPeriod = absl::Seconds(1);
     absl::Duration publishingTimeout = absl::Seconds(10);
     absl::Duration requestTimeout = absl::Seconds(3); ///< Then an answer counts as lost.
-    std::uint64_t retainedVersions = 1000; ///< Versions whose objects are kept.
+    std::uint64_t retainedVersions = 1000;            ///< Versions whose objects are kept.
 };
 
 /// What an input changed in the configuration.
 struct ConfigurationChange
 {
     bool applied = false;
-    bool publishedHere = false; ///< The version was published by this node.
-    bool wantsSnapshot = false; ///< A step did not fit; a whole configuration is needed.
+    bool publishedHere = false;    ///< The version was published by this node.
+    bool wantsSnapshot = false;    ///< A step did not fit; a whole configuration is needed.
     std::optional<DeltaStep> step; ///< The step that was applied, if it was one.
 };
 
@@ -65,8 +65,7 @@
 
 private:
     struct PollPurpose
-    {
-    };
+    {};
     struct PublicationPurpose
     {
         OperatorRequestId request;
@@ -84,22 +83,18 @@
         OperatorRequestId request;
     };
     struct CollectPurpose
-    {
-    };
+    {};
     struct IgnorePurpose
-    {
-    };
-    using Purpose = std::variant<PollPurpose, PublicationPurpose, HistoryPurpose,
-                                 VersionRowPurpose, VersionContentPurpose, CollectPurpose,
-                                 IgnorePurpose>;
+    {};
+    using Purpose = std::variant<PollPurpose, PublicationPurpose, HistoryPurpose, VersionRowPurpose,
+                                 VersionContentPurpose, CollectPurpose, IgnorePurpose>;
     struct Pending
     {
         Purpose purpose;
         absl::Time sent;
     };
 
-    void ask(Purpose purpose, PlatformOperation operation, absl::Time now,
-             ControlEffects &effects);
+    void ask(Purpose purpose, PlatformOperation operation, absl::Time now, ControlEffects &effects);
     ConfigurationChange onPoll(const PlatformAnswer &answer, absl::Time now,
                                ControlEffects &effects);
     ConfigurationChange onPublication(OperatorRequestId request, const PlatformAnswer &answer,
--- a/packages/decisions/include/godwitlift/publishing/PlatformWatcher.h
+++ b/packages/decisions/include/godwitlift/publishing/PlatformWatcher.h
@@ -20,7 +20,8 @@
     std::string text;
 };
 
-/// Polls the head and fetches what the node lacks. One poll is in flight at a time. Not thread-safe.
+/// Polls the head and fetches what the node lacks. One poll is in flight at a time. Not
+/// thread-safe.
 ///
 /// A poll that finds nothing new costs one read. A version that directly follows the held one costs
 /// one row and one delta; a larger gap costs one row and one snapshot.
--- a/packages/decisions/include/godwitlift/publishing/Publication.h
+++ b/packages/decisions/include/godwitlift/publishing/Publication.h
@@ -105,7 +105,7 @@
     PlatformOperation m_last;
     HeadRecord m_head; ///< Version 0 while nothing has been published.
     std::optional<Plan> m_plan;
-    VersionRecord m_record; ///< The version being published.
+    VersionRecord m_record;        ///< The version being published.
     bool m_moveUnresolved = false; ///< A head move was sent whose outcome is unknown.
     std::optional<PublicationEnd> m_end;
     absl::Time m_now; ///< Time of the last answer; stamps the version's record.
--- a/packages/decisions/include/godwitlift/serving/AnswerTracker.h
+++ b/packages/decisions/include/godwitlift/serving/AnswerTracker.h
@@ -20,14 +20,17 @@
 {
 public:
     AnswerTracker(AttemptId expected, absl::Duration stallTimeout, absl::Time now)
-        : m_expected(expected), m_stallTimeout(stallTimeout), m_progress(now)
-    {
-    }
+        : m_expected(expected)
+        , m_stallTimeout(stallTimeout)
+        , m_progress(now)
+    {}
 
     /// The head names the attempt it answers and, if known, the body's length in bytes.
     /// Returns a reason other than None if the answer must be dropped.
     Reason head(AttemptId attempt, std::optional<std::uint64_t> length, absl::Time now);
     Reason body(std::uint64_t bytes, absl::Time now);
+    /// The last part was not taken and will come again.
+    void takeBack(std::uint64_t bytes) { m_received -= bytes; }
     /// The sender says the body is complete.
     Reason end(absl::Time now);
     /// None, or AnswerStalled if nothing has moved for too long.
--- a/packages/decisions/include/godwitlift/serving/BackendPicker.h
+++ b/packages/decisions/include/godwitlift/serving/BackendPicker.h
@@ -39,7 +39,9 @@
 class BackendPicker final
 {
 public:
-    explicit BackendPicker(RandomSource &random) : m_random(random) { }
+    explicit BackendPicker(RandomSource &random)
+        : m_random(random)
+    {}
 
     /// The target for the next attempt; null if the service has none outside \p tried.
     const Target *pick(const ServiceTargets &targets, const std::set<TargetKey> &tried,
@@ -54,7 +56,7 @@
     struct State
     {
         std::uint32_t inFlight = 0; ///< Attempts of this ingress.
-        GateLoad load; ///< As the gate last said.
+        GateLoad load;              ///< As the gate last said.
         absl::Time heard = absl::InfinitePast();
         int failures = 0; ///< In a row.
         absl::Time ejectedUntil = absl::InfinitePast();
--- a/packages/decisions/include/godwitlift/serving/Gate.h
+++ b/packages/decisions/include/godwitlift/serving/Gate.h
@@ -51,24 +51,24 @@
 
 /// How a started request ended.
 enum class RunEnd : std::uint8_t {
-    Answered, ///< A whole answer came.
-    Shed, ///< The backend server refused before running it.
+    Answered,     ///< A whole answer came.
+    Shed,         ///< The backend server refused before running it.
     NotConnected, ///< The request never reached the backend server.
-    Failed ///< Handed over, no whole answer.
+    Failed        ///< Handed over, no whole answer.
 };
 
 /// The order in which waiting requests are chosen.
 enum class GateDiscipline : std::uint8_t {
-    Ranked, ///< Urgent first, floors for the others, ceilings, headroom.
-    FirstCome, ///< One queue for all; kept for comparison.
+    Ranked,     ///< Urgent first, floors for the others, ceilings, headroom.
+    FirstCome,  ///< One queue for all; kept for comparison.
     StrictRank, ///< Urgent first without floors or ceilings; kept for comparison.
     FixedShares ///< Each rank only within its floor's share; kept for comparison.
 };
 
 /// Admission to one backend server. Not thread-safe.
 ///
-/// Invariants: started and unfinished requests never exceed the slot limit at the time of the start;
-/// every request is started or refused exactly once; a refused request never started.
+/// Invariants: started and unfinished requests never exceed the slot limit at the time of the
+/// start; every request is started or refused exactly once; a refused request never started.
 class Gate final
 {
 public:
@@ -85,6 +85,8 @@
     bool cancel(AttemptId attempt);
     /// Refuses what waits and everything that still comes; started requests go on.
     GateStep drain(absl::Time now);
+    /// A new process took the place of the one that was drained.
+    void reopen() { m_draining = false; }
     /// Refuses what can no longer be served in time. Call it about every 10 ms.
     GateStep tick(absl::Time now);
 
@@ -99,8 +101,8 @@
         Rank policy;
         RankQueue queue;
         std::uint32_t inUse = 0;
-        double meanSeconds = 0; ///< Moving mean of service times; 0 until the first answer.
-        std::uint32_t peak = 0; ///< Highest demand in the current window.
+        double meanSeconds = 0;     ///< Moving mean of service times; 0 until the first answer.
+        std::uint32_t peak = 0;     ///< Highest demand in the current window.
         std::uint32_t lastPeak = 0; ///< Highest demand in the window before.
 
         std::uint32_t demand() const { return inUse + static_cast<std::uint32_t>(queue.size()); }
--- a/packages/decisions/include/godwitlift/serving/Ingress.h
+++ b/packages/decisions/include/godwitlift/serving/Ingress.h
@@ -7,6 +7,7 @@
 #include "godwitlift/serving/BackendPicker.h"
 #include "godwitlift/serving/KeyClaim.h"
 #include "godwitlift/serving/OperationLedger.h"
+#include "godwitlift/serving/OwnerLookup.h"
 #include "godwitlift/serving/RetryBudget.h"
 
 #include <map>
@@ -27,12 +28,12 @@
     CallId call;
     std::string path; ///< Without the query.
     CallerId caller;
-    IdempotencyKey key; ///< Empty if the caller sent none.
+    IdempotencyKey key;            ///< Empty if the caller sent none.
     std::uint64_t fingerprint = 0; ///< Hash over method, path, query and body.
     std::uint64_t bodyBytes = 0;
     std::optional<absl::Duration> timeout; ///< The caller's own bound.
     std::uint32_t retriesLeft = 0; ///< Retries that the whole chain of calls may still make.
-    bool isRelayed = false; ///< Another node sent it here as to the key's owner.
+    bool isRelayed = false;        ///< Another node sent it here as to the key's owner.
 };
 
 /// Send the call to the node beside a backend server.
@@ -47,7 +48,7 @@
     absl::Time deadline;
     absl::Duration stallTimeout;
     std::uint32_t retriesLeft = 0; ///< What the backend server's own calls may still retry.
-    bool keepsAnswer = false; ///< The body must be reported to attemptEnded() for the ledger.
+    bool keepsAnswer = false;      ///< The body must be reported to attemptEnded() for the ledger.
 };
 
 /// Relay the whole call to the node that owns its key.
@@ -66,7 +67,7 @@
     Verdict verdict = Verdict::NotRun;
     Reason reason = Reason::None;
     absl::Duration retryAfter; ///< Zero: no advice.
-    RankId rank; ///< Empty if no route matched.
+    RankId rank;               ///< Empty if no route matched.
 };
 
 /// Answer from the ledger.
@@ -83,7 +84,7 @@
     std::vector<RelayOrder> relays;
     std::vector<CallRefusal> refusals;
     std::vector<ReplayOrder> replays;
-    std::vector<CallId> completions; ///< The answer of the last attempt is the call's answer.
+    std::vector<CallId> completions;      ///< The answer of the last attempt is the call's answer.
     std::vector<AttemptId> cancellations; ///< Attempts whose caller is gone.
     std::vector<PlatformRequest> platformRequests;
     std::vector<Reason> retries; ///< Reason of each retry made, for the counters.
@@ -95,10 +96,10 @@
     AttemptId attempt;
     Verdict verdict = Verdict::MayHaveRun;
     Reason reason = Reason::None; ///< None only for Ran.
-    GateLoad load; ///< Zero limit if the gate could not be heard.
+    GateLoad load;                ///< Zero limit if the gate could not be heard.
     absl::Duration retryAfter;
     bool answerStarted = false; ///< Part of the answer has gone to the caller already.
-    StoredAnswer answer; ///< For the ledger, if the order asked for it.
+    StoredAnswer answer;        ///< For the ledger, if the order asked for it.
 };
 
 /// Bounds of an ingress.
@@ -124,20 +125,19 @@
 class Ingress final
 {
 public:
-    /// \p random must outlive the ingress.
-    Ingress(HostId self, Incarnation incarnation, IngressPolicy policy, RandomSource &random);
+    /// \p owners and \p random must outlive the ingress.
+    Ingress(HostId self, Incarnation incarnation, IngressPolicy policy, const OwnerLookup &owners,
+            RandomSource &random);
 
     void setTable(std::shared_ptr<const RoutingTable> table) { m_table = std::move(table); }
     const std::shared_ptr<const RoutingTable> &table() const { return m_table; }
-    /// Known hosts, to find the owners of keys. Null until it is set; not owned.
-    void setOwnerLookup(const HostDirectory *directory) { m_directory = directory; }
 
     IngressStep arrive(const CallHead &head, absl::Time now);
     /// The answer's head has come; from now on its progress counts and not the call's deadline.
     void answerStarted(AttemptId attempt);
     IngressStep attemptEnded(const AttemptReport &report, absl::Time now);
-    /// The relayed call came back. \p verdict and \p reason are the owner's; an unreachable owner is
-    /// reported as MayHaveRun with KeyOwnerUnreachable.
+    /// The relayed call came back. \p verdict and \p reason are the owner's; an unreachable owner
+    /// is reported as MayHaveRun with KeyOwnerUnreachable.
     IngressStep relayEnded(CallId call, Verdict verdict, Reason reason, absl::Time now);
     IngressStep platformAnswered(const PlatformAnswer &answer, absl::Time now);
     /// The caller is gone. A call under a key goes on, so that a retry finds its outcome.
@@ -157,10 +157,10 @@
         const ResolvedRoute *route = nullptr;
         absl::Time arrived;
         absl::Time deadline;
-        bool ownsKey = false; ///< The ledger holds this call's key in progress.
+        bool ownsKey = false;     ///< The ledger holds this call's key in progress.
         bool isAnswering = false; ///< The current attempt's answer has begun.
-        bool isDetached = false; ///< The caller is gone; only the ledger awaits the outcome.
-        AttemptId attempt; ///< Current attempt; 0 if none.
+        bool isDetached = false;  ///< The caller is gone; only the ledger awaits the outcome.
+        AttemptId attempt;        ///< Current attempt; 0 if none.
         std::uint32_t attempts = 0;
         std::set<TargetKey> tried;
         Verdict worst = Verdict::NotRun; ///< Gravest verdict of the attempts so far.
@@ -189,7 +189,7 @@
     IngressPolicy m_policy;
     RandomSource &m_random;
     std::shared_ptr<const RoutingTable> m_table;
-    const HostDirectory *m_directory = nullptr;
+    const OwnerLookup &m_owners;
     BackendPicker m_picker;
     OperationLedger m_ledger;
     AdmissionBucket m_claims;
--- a/packages/decisions/include/godwitlift/serving/KeyClaim.h
+++ b/packages/decisions/include/godwitlift/serving/KeyClaim.h
@@ -22,14 +22,13 @@
 
 /// The owner cannot be found now.
 struct ClaimFailed
-{
-};
+{};
 
 using ClaimEnd = std::variant<KeyOwner, ClaimFailed>;
 
 /// State machine of one claim: write the row if it is absent, otherwise read who wrote it.
-/// The first process to write the row owns the key for good; there is no takeover. An answer that is
-/// lost is resolved by reading. Not thread-safe.
+/// The first process to write the row owns the key for good; there is no takeover. An answer that
+/// is lost is resolved by reading. Not thread-safe.
 class KeyClaim final
 {
 public:
--- a/packages/decisions/include/godwitlift/serving/OperationLedger.h
+++ b/packages/decisions/include/godwitlift/serving/OperationLedger.h
@@ -25,12 +25,12 @@
 
 /// Whether a call may run under its key.
 enum class KeyState : std::uint8_t {
-    MayRun, ///< The key was never handed to a backend server; the call may run now.
-    InProgress, ///< An attempt is running.
-    Known, ///< The outcome is known.
-    Unknown, ///< The key may have run and its outcome cannot be proved.
+    MayRun,       ///< The key was never handed to a backend server; the call may run now.
+    InProgress,   ///< An attempt is running.
+    Known,        ///< The outcome is known.
+    Unknown,      ///< The key may have run and its outcome cannot be proved.
     OtherRequest, ///< The key belongs to a different request.
-    NoSpace ///< The ledger is full; the call must not run.
+    NoSpace       ///< The ledger is full; the call must not run.
 };
 
 /// Bounds of a ledger.
@@ -38,7 +38,7 @@
 {
     absl::Duration retention = absl::Hours(24); ///< Time for which keys are remembered.
     std::size_t keyLimit = 200'000;
-    std::size_t answerLimitBytes = 64 * 1024; ///< Larger answers are not kept.
+    std::size_t answerLimitBytes = 64 * 1024;     ///< Larger answers are not kept.
     std::size_t answerBudgetBytes = 48ULL << 20U; ///< Answers kept altogether.
 };
 
@@ -60,8 +60,8 @@
     /// Asks to run a call under an issued key of this node.
     KeyState beginIssued(const IssuedKey &key, std::uint64_t fingerprint, absl::Time now);
     /// Asks to run a call under a key whose claim names this process since \p claimed.
-    KeyState beginClaimed(const IdempotencyKey &key, std::uint64_t fingerprint,
-                          absl::Time claimed, absl::Time now);
+    KeyState beginClaimed(const IdempotencyKey &key, std::uint64_t fingerprint, absl::Time claimed,
+                          absl::Time now);
     /// Ends the attempt that began last. \p answer counts only if \p verdict is Ran.
     void finish(const IdempotencyKey &key, Verdict verdict, StoredAnswer answer);
     /// The answer of a key in state Known; null if none is held.
@@ -94,7 +94,7 @@
     Incarnation m_incarnation;
     std::uint64_t m_secret;
     LedgerPolicy m_policy;
-    std::uint64_t m_issued = 0; ///< Counter of the last issued key.
+    std::uint64_t m_issued = 0;    ///< Counter of the last issued key.
     std::uint64_t m_forgotten = 0; ///< Issued keys up to this counter are answered as Unknown.
     absl::flat_hash_map<IdempotencyKey, Entry> m_entries;
     std::deque<Arrival> m_arrivals; ///< One for each entry, oldest first.
--- a/packages/decisions/include/godwitlift/serving/RoutingTable.h
+++ b/packages/decisions/include/godwitlift/serving/RoutingTable.h
@@ -58,8 +58,7 @@
     /// \p configuration must be valid.
     static std::shared_ptr<const RoutingTable> compile(const SharedConfiguration &configuration,
                                                        const HostDirectory &directory,
-                                                       const ZoneId &zone,
-                                                       const RegionId &region);
+                                                       const ZoneId &zone, const RegionId &region);
 
     RoutingTable(const RoutingTable &) = delete;
     RoutingTable &operator=(const RoutingTable &) = delete;
--- a/packages/decisions/src/base/Verdict.cpp
+++ b/packages/decisions/src/base/Verdict.cpp
@@ -33,6 +33,7 @@
     "key-outcome-unknown",
     "key-reused",
     "platform-unavailable",
+    "answer-not-kept",
     "retry-budget-spent",
     "too-large",
     "overloaded",
@@ -80,6 +81,7 @@
         return 400;
     case Reason::KeyInProgress:
     case Reason::KeyOutcomeUnknown:
+    case Reason::AnswerNotKept:
         return 409;
     case Reason::KeyReused:
         return 422;
--- a/packages/decisions/src/configuration/Configuration.cpp
+++ b/packages/decisions/src/configuration/Configuration.cpp
@@ -33,8 +33,8 @@
     for (const auto &[id, route] : configuration.routes) {
         const std::string path = absl::StrCat("routes.", id.value());
         if (!configuration.services.contains(route.service)) {
-            faults.push_back({ path + ".service",
-                               absl::StrCat("no service ", route.service.value()) });
+            faults.push_back(
+                    { path + ".service", absl::StrCat("no service ", route.service.value()) });
         }
         if (!configuration.ranks.contains(route.rank))
             faults.push_back({ path + ".rank", absl::StrCat("no rank ", route.rank.value()) });
--- a/packages/decisions/src/configuration/ConfigurationCodec.cpp
+++ b/packages/decisions/src/configuration/ConfigurationCodec.cpp
@@ -85,7 +85,8 @@
     rank.floorShare = reader.number("floor_share", 0, 1, 0);
     rank.ceilingShare = reader.number("ceiling_share", 0, 1, 1);
     rank.retryRatio = reader.number("retry_ratio", 0, 1, 0.1);
-    rank.queueLimit = static_cast<std::uint32_t>(reader.integer("queue_limit", 0, QueueCeiling, 64));
+    rank.queueLimit =
+            static_cast<std::uint32_t>(reader.integer("queue_limit", 0, QueueCeiling, 64));
     return rank;
 }
 
--- a/packages/decisions/src/configuration/Plan.cpp
+++ b/packages/decisions/src/configuration/Plan.cpp
@@ -31,8 +31,7 @@
     return single.isEmpty() ? std::string() : encode(single);
 }
 
-PlannedChange describe(const Configuration &base, const Configuration &target,
-                       const ItemName &name)
+PlannedChange describe(const Configuration &base, const Configuration &target, const ItemName &name)
 {
     PlannedChange change;
     change.item = name;
--- a/packages/decisions/src/distribution/FleetReports.cpp
+++ b/packages/decisions/src/distribution/FleetReports.cpp
@@ -12,7 +12,7 @@
 bool isWorse(const LaggingHost &a, const LaggingHost &b)
 {
     return std::make_tuple(a.refused == Version(), a.held, a.host)
-            < std::make_tuple(b.refused == Version(), b.held, b.host);
+           < std::make_tuple(b.refused == Version(), b.held, b.host);
 }
 
 } // namespace
--- a/packages/decisions/src/distribution/FollowTree.cpp
+++ b/packages/decisions/src/distribution/FollowTree.cpp
@@ -5,9 +5,10 @@
 namespace godwitlift {
 
 FollowTree::FollowTree(HostId self, ZoneId zone, FollowPolicy policy)
-    : m_self(std::move(self)), m_zone(std::move(zone)), m_policy(policy)
-{
-}
+    : m_self(std::move(self))
+    , m_zone(std::move(zone))
+    , m_policy(policy)
+{}
 
 std::set<HostId> FollowTree::unreachable() const
 {
--- a/packages/decisions/src/distribution/RelayTopology.cpp
+++ b/packages/decisions/src/distribution/RelayTopology.cpp
@@ -62,9 +62,10 @@
                              const std::set<HostId> &unreachable, FanOutShape shape)
 {
     const auto members = static_cast<double>(directory.memberCount(zone));
-    const auto relayCount = shape == FanOutShape::Flat
-            ? RootCount
-            : std::max(RootCount, static_cast<std::size_t>(std::ceil(std::sqrt(members))));
+    const auto relayCount =
+            shape == FanOutShape::Flat
+                    ? RootCount
+                    : std::max(RootCount, static_cast<std::size_t>(std::ceil(std::sqrt(members))));
     m_relays = bestMembers(directory, zone, unreachable, relayCount);
     m_roots.assign(m_relays.begin(),
                    m_relays.begin()
--- a/packages/decisions/src/json/ObjectReader.cpp
+++ b/packages/decisions/src/json/ObjectReader.cpp
@@ -44,7 +44,9 @@
 
 ObjectReader::ObjectReader(const nlohmann::json &object, std::string path,
                            std::vector<InputFault> &faults)
-    : m_object(object), m_path(std::move(path)), m_faults(faults)
+    : m_object(object)
+    , m_path(std::move(path))
+    , m_faults(faults)
 {
     if (!m_object.is_object())
         m_faults.push_back({ m_path, "expected an object" });
--- a/packages/decisions/src/membership/FailureDetector.cpp
+++ b/packages/decisions/src/membership/FailureDetector.cpp
@@ -23,9 +23,10 @@
 } // namespace
 
 FailureDetector::FailureDetector(HostId self, ZoneId zone, FailureDetectorPolicy policy)
-    : m_self(std::move(self)), m_zone(std::move(zone)), m_policy(policy)
-{
-}
+    : m_self(std::move(self))
+    , m_zone(std::move(zone))
+    , m_policy(policy)
+{}
 
 DetectorStep FailureDetector::tick(const HostDirectory &directory, absl::Time now,
                                    RandomSource &random)
@@ -64,8 +65,8 @@
     m_doubtingItself = members.size() >= SmallZone && (probesFail || zoneSuspect);
 }
 
-void FailureDetector::sendNext(const HostDirectory &directory, absl::Time now,
-                               RandomSource &random, DetectorStep &step)
+void FailureDetector::sendNext(const HostDirectory &directory, absl::Time now, RandomSource &random,
+                               DetectorStep &step)
 {
     m_nextProbe = now + m_policy.probePeriod;
     if (m_round.empty()) {
@@ -89,8 +90,8 @@
     }
 }
 
-void FailureDetector::followUp(const HostDirectory &directory, absl::Time now,
-                               RandomSource &random, DetectorStep &step)
+void FailureDetector::followUp(const HostDirectory &directory, absl::Time now, RandomSource &random,
+                               DetectorStep &step)
 {
     for (auto it = m_pending.begin(); it != m_pending.end();) {
         Probe &probe = it->second;
--- a/packages/decisions/src/membership/LocalBackendServers.cpp
+++ b/packages/decisions/src/membership/LocalBackendServers.cpp
@@ -47,10 +47,10 @@
 
 bool LocalBackendServers::expire(absl::Time now)
 {
-    return std::erase_if(m_entries, [&](const auto &entry) {
-               return now - entry.second.heard >= HeartbeatTimeout;
-           })
-            > 0;
+    return std::erase_if(
+                   m_entries,
+                   [&](const auto &entry) { return now - entry.second.heard >= HeartbeatTimeout; })
+           > 0;
 }
 
 std::vector<BackendServer> LocalBackendServers::list() const
--- a/packages/decisions/src/node/ControlPlane.cpp
+++ b/packages/decisions/src/node/ControlPlane.cpp
@@ -48,8 +48,7 @@
     , m_nextCompare(now + policy.comparePeriod * random.unit())
     , m_nextRootCompare(now + policy.rootPeriod * random.unit())
     , m_nextExpiry(now + ExpiryPeriod)
-{
-}
+{}
 
 std::vector<BackendServer> ControlPlane::ownBackendServers() const
 {
@@ -119,7 +118,9 @@
 std::vector<ZoneReport> ControlPlane::reports(absl::Time now) const
 {
     FleetReports merged = m_fleet;
-    merged.merge(FleetReports::subtree(m_identity.zone, ownLag(), m_tree.followers(), now));
+    // Only the first root sees its whole zone; the second one follows it.
+    if (m_tree.parent().isEmpty())
+        merged.merge(FleetReports::subtree(m_identity.zone, ownLag(), m_tree.followers(), now));
     return merged.all();
 }
 
@@ -165,8 +166,8 @@
         send(order.to, Probe{ order.number, order.target, m_identity.host }, effects);
     for (const HostRecord &belief : step.beliefs) {
         const bool dead = belief.stamp.liveness == Liveness::Dead;
-        effects.logs.push_back({ dead ? "host_dead" : "host_suspect",
-                                 { { "host", belief.host.value() } } });
+        effects.logs.push_back(
+                { dead ? "host_dead" : "host_suspect", { { "host", belief.host.value() } } });
         spread(m_presence.merge({ belief }, now), m_identity.host, effects);
     }
 }
@@ -195,8 +196,7 @@
         m_nextCompare = now + m_policy.comparePeriod;
         const auto members = directory().members(m_identity.zone);
         if (!members.empty())
-            send(members[m_random.below(members.size())]->host, followRequest(false, now),
-                 effects);
+            send(members[m_random.below(members.size())]->host, followRequest(false, now), effects);
     }
     if (!isRoot() || now < m_nextRootCompare)
         return;
@@ -218,12 +218,12 @@
 {
     if (m_identity.seeds.empty() || now < m_nextSeeds)
         return;
-    const bool alone = directory().memberCount(m_identity.zone) <= 1
-            && directory().zones().size() <= 1;
+    const bool alone =
+            directory().memberCount(m_identity.zone) <= 1 && directory().zones().size() <= 1;
     if (!alone)
         m_seedBackoff.succeeded();
-    m_nextSeeds = now
-            + (alone ? SeedBackoffBase + m_seedBackoff.failed(m_random) : SeedBackoffCeiling);
+    m_nextSeeds =
+            now + (alone ? SeedBackoffBase + m_seedBackoff.failed(m_random) : SeedBackoffCeiling);
     const auto contact = [&](const Address &seed) {
         if (seed == m_identity.address)
             return;
@@ -249,15 +249,15 @@
 {
     if (m_ready || configuration().version() < m_configuration.newestKnown())
         return;
-    const bool asked = (m_identity.seeds.empty() || m_peerAnswered)
+    const bool asked =
+            (m_identity.seeds.empty() || m_peerAnswered)
             && (m_configuration.watcher().hasPolled() || configuration().version() > Version());
     if (!asked && now - m_started < m_policy.joinTimeout)
         return;
     m_ready = true;
-    effects.logs.push_back(
-            { "node_ready",
-              { { "version", absl::StrCat(configuration().version().value()) },
-                { "asked", asked ? "all" : "timeout" } } });
+    effects.logs.push_back({ "node_ready",
+                             { { "version", absl::StrCat(configuration().version().value()) },
+                               { "asked", asked ? "all" : "timeout" } } });
 }
 
 void ControlPlane::compileIfDirty(ControlEffects &effects)
@@ -290,8 +290,7 @@
                                { "from", absl::StrCat(before.value()) } } });
     for (auto &[host, follower] : m_tree.followers()) {
         if (host != from.host)
-            offerTo(follower.address, follower.held, follower.refused, now, effects,
-                    nullptr);
+            offerTo(follower.address, follower.held, follower.refused, now, effects, nullptr);
     }
     m_tree.hurry();
     updateReadiness(now, effects);
@@ -333,7 +332,7 @@
         return;
     answer->isAdmitted = false;
     answer->retryAfter = m_snapshotBytes.waitFor(snapshotPrice())
-            + m_policy.follow.heartbeatPeriod * m_random.unit();
+                         + m_policy.follow.heartbeatPeriod * m_random.unit();
 }
 
 Result<Plan> ControlPlane::plan(const ConfigurationDelta &delta) const
@@ -373,8 +372,7 @@
 ControlEffects ControlPlane::status(OperatorRequestId request, absl::Time now)
 {
     ControlEffects effects;
-    const auto roots =
-            RelayTopology::rootsOf(directory(), m_identity.zone, m_tree.unreachable());
+    const auto roots = RelayTopology::rootsOf(directory(), m_identity.zone, m_tree.unreachable());
     if (roots.empty() || roots.front() == m_identity.host) {
         effects.answers.push_back({ request, FleetStatus{ reports(now), {} } });
         return effects;
--- a/packages/decisions/src/node/ControlPlaneReceiver.cpp
+++ b/packages/decisions/src/node/ControlPlaneReceiver.cpp
@@ -25,8 +25,7 @@
         FollowAnswer answer;
         answer.held = plane.configuration().version();
         answer.presenceDigest = plane.directory().digest();
-        plane.offerTo(from.address, request.held, request.refused, now, effects,
-                      &answer);
+        plane.offerTo(from.address, request.held, request.refused, now, effects, &answer);
         if (request.isFollower) {
             Follower follower{ from.address, request.held, request.refused, now, {} };
             if (!request.reports.empty())
@@ -71,10 +70,9 @@
         const Version before = plane.configuration().version();
         const ConfigurationChange change = plane.m_configuration.takeSnapshot(offer.snapshot);
         if (!change.applied && plane.m_configuration.refusedVersion() == offer.snapshot.version)
-            effects.logs.push_back(
-                    { "version_refused",
-                      { { "version", absl::StrCat(offer.snapshot.version.value()) },
-                        { "problem", plane.ownLag().problem } } });
+            effects.logs.push_back({ "version_refused",
+                                     { { "version", absl::StrCat(offer.snapshot.version.value()) },
+                                       { "problem", plane.ownLag().problem } } });
         plane.configurationChanged(change, before, from, now, effects);
     }
 
--- a/packages/decisions/src/platform/Platform.cpp
+++ b/packages/decisions/src/platform/Platform.cpp
@@ -17,10 +17,7 @@
     PlatformAnswer operator()(const Transact &request) const { return table.transact(request); }
     PlatformAnswer operator()(const PutObject &request) const { return objects.put(request); }
     PlatformAnswer operator()(const FetchObject &request) const { return objects.fetch(request); }
-    PlatformAnswer operator()(const RemoveObject &request) const
-    {
-        return objects.remove(request);
-    }
+    PlatformAnswer operator()(const RemoveObject &request) const { return objects.remove(request); }
 };
 
 } // namespace
--- a/packages/decisions/src/publishing/ConfigurationSync.cpp
+++ b/packages/decisions/src/publishing/ConfigurationSync.cpp
@@ -11,9 +11,9 @@
 namespace godwitlift {
 
 ConfigurationSync::ConfigurationSync(PublishingPolicy policy)
-    : m_policy(policy), m_watcher(policy.pollPeriod)
-{
-}
+    : m_policy(policy)
+    , m_watcher(policy.pollPeriod)
+{}
 
 void ConfigurationSync::noteKnown(Version version)
 {
@@ -190,7 +190,8 @@
 {
     HistoryListing listing;
     if (answer.outcome != PlatformOutcome::Ok)
-        listing.problem = absl::StrCat("the platform does not answer: ", std::string(name(answer.outcome)));
+        listing.problem =
+                absl::StrCat("the platform does not answer: ", std::string(name(answer.outcome)));
     for (const TableRow &row : answer.rows) {
         if (auto record = versionFromRow(row))
             listing.versions.push_back(std::move(*record));
@@ -204,8 +205,9 @@
     const auto record = answer.rows.empty() ? std::nullopt : versionFromRow(answer.rows.front());
     if (!record) {
         effects.answers.push_back(
-                { request,
-                  VersionContent{ {}, absl::StrCat("no such version: ", std::string(name(answer.outcome))) } });
+                { request, VersionContent{ {},
+                                           absl::StrCat("no such version: ",
+                                                        std::string(name(answer.outcome))) } });
         return;
     }
     ask(VersionContentPurpose{ request }, FetchObject{ record->snapshotName() }, now, effects);
@@ -216,7 +218,8 @@
 {
     VersionContent content{ answer.content, {} };
     if (answer.outcome != PlatformOutcome::Ok)
-        content.problem = absl::StrCat("the content is not kept: ", std::string(name(answer.outcome)));
+        content.problem =
+                absl::StrCat("the content is not kept: ", std::string(name(answer.outcome)));
     effects.answers.push_back({ request, std::move(content) });
 }
 
--- a/packages/decisions/src/publishing/PlatformWatcher.cpp
+++ b/packages/decisions/src/publishing/PlatformWatcher.cpp
@@ -4,7 +4,9 @@
 
 namespace godwitlift {
 
-PlatformWatcher::PlatformWatcher(absl::Duration period) : m_period(period) { }
+PlatformWatcher::PlatformWatcher(absl::Duration period)
+    : m_period(period)
+{}
 
 std::optional<PlatformOperation> PlatformWatcher::poll(absl::Time now)
 {
@@ -56,8 +58,7 @@
     return fail(true);
 }
 
-std::optional<PlatformOperation> PlatformWatcher::onHead(const PlatformAnswer &answer,
-                                                         Version held)
+std::optional<PlatformOperation> PlatformWatcher::onHead(const PlatformAnswer &answer, Version held)
 {
     const auto head = answer.rows.empty() ? std::nullopt : headFromRow(answer.rows.front());
     if (!head || head->version <= held)
--- a/packages/decisions/src/publishing/Publication.cpp
+++ b/packages/decisions/src/publishing/Publication.cpp
@@ -27,9 +27,10 @@
 } // namespace
 
 Publication::Publication(Confirmation confirmation, SharedConfiguration held, absl::Time deadline)
-    : m_confirmation(std::move(confirmation)), m_held(std::move(held)), m_deadline(deadline)
-{
-}
+    : m_confirmation(std::move(confirmation))
+    , m_held(std::move(held))
+    , m_deadline(deadline)
+{}
 
 PlatformOperation Publication::begin()
 {
@@ -70,8 +71,7 @@
     case Step::ReadContent:
         return onContent(answer);
     case Step::PutSnapshot:
-        return ask(Step::PutDelta,
-                   PutObject{ m_record.deltaName(), encode(m_plan->delta()) });
+        return ask(Step::PutDelta, PutObject{ m_record.deltaName(), encode(m_plan->delta()) });
     case Step::PutDelta:
         return ask(Step::MoveHead, headMove());
     case Step::MoveHead:
@@ -131,10 +131,9 @@
             return finish(PublishingFailed{ "a version row cannot be read", false });
         for (const std::string &touched : other->touched) {
             if (own.contains(touched))
-                return finish(Conflict{ absl::StrCat(touched, " was changed by ", other->author,
-                                                     " in version ", other->version.value(),
-                                                     " (operation ", other->operation.value(),
-                                                     ")") });
+                return finish(Conflict{ absl::StrCat(
+                        touched, " was changed by ", other->author, " in version ",
+                        other->version.value(), " (operation ", other->operation.value(), ")") });
         }
     }
     if (m_held->version == m_head.version)
@@ -195,8 +194,8 @@
 Transact Publication::headMove() const
 {
     const RowCondition headCondition = m_head.version == Version()
-            ? RowCondition::absent()
-            : RowCondition::revisionIs(m_head.version.value());
+                                               ? RowCondition::absent()
+                                               : RowCondition::revisionIs(m_head.version.value());
     return { { { toRow(HeadRecord{ m_record.version, m_record.digest }), headCondition },
                { toRow(m_record), RowCondition::absent() },
                { toOperationRow(m_record), RowCondition::absent() } } };
--- a/packages/decisions/src/publishing/PublishedRecords.cpp
+++ b/packages/decisions/src/publishing/PublishedRecords.cpp
@@ -22,14 +22,15 @@
 
 std::string valueOf(const VersionRecord &record)
 {
-    return json{ { "version", record.version.value() },
-                 { "digest", record.digest.value() },
-                 { "operation", record.operation.value() },
-                 { "author", record.author },
-                 { "note", record.note },
-                 { "published_unix_ms", record.publishedUnixMs },
-                 { "touched", record.touched } }
-            .dump();
+    return json{
+        { "version", record.version.value() },
+        { "digest", record.digest.value() },
+        { "operation", record.operation.value() },
+        { "author", record.author },
+        { "note", record.note },
+        { "published_unix_ms", record.publishedUnixMs },
+        { "touched", record.touched }
+    }.dump();
 }
 
 std::optional<json> parsedObject(const std::string &text)
--- a/packages/decisions/src/serving/Gate.cpp
+++ b/packages/decisions/src/serving/Gate.cpp
@@ -27,7 +27,8 @@
 } // namespace
 
 Gate::Gate(SlotLimit limit, const std::map<RankId, Rank> &ranks, GateDiscipline discipline)
-    : m_limit(limit), m_discipline(discipline)
+    : m_limit(limit)
+    , m_discipline(discipline)
 {
     setRanks(ranks);
 }
@@ -189,12 +190,10 @@
         return step;
     }
     refuseHopeless(now, step);
-    const std::size_t lane =
-            m_discipline == GateDiscipline::FirstCome ? 0 : laneOf(call.rank);
+    const std::size_t lane = m_discipline == GateDiscipline::FirstCome ? 0 : laneOf(call.rank);
     const std::uint32_t limit = m_limit.current(now);
     if (now + expectedService(lane) > call.deadline) {
-        step.refusals.push_back(
-                { call.attempt, Reason::DeadlineUnmeetable, absl::ZeroDuration() });
+        step.refusals.push_back({ call.attempt, Reason::DeadlineUnmeetable, absl::ZeroDuration() });
         return step;
     }
     if (m_lanes[lane].queue.isEmpty() && mayStart(lane, limit)) {
@@ -228,8 +227,8 @@
     const double seconds = absl::ToDoubleSeconds(now - it->second.started);
     if (end == RunEnd::Answered) {
         lane.meanSeconds = lane.meanSeconds == 0
-                ? seconds
-                : lane.meanSeconds + MeanWeight * (seconds - lane.meanSeconds);
+                                   ? seconds
+                                   : lane.meanSeconds + MeanWeight * (seconds - lane.meanSeconds);
         m_limit.answered();
     } else if (end == RunEnd::Shed) {
         m_limit.shed(m_inUse, now);
--- a/packages/decisions/src/serving/KeyClaim.cpp
+++ b/packages/decisions/src/serving/KeyClaim.cpp
@@ -15,10 +15,11 @@
 
 std::string valueOf(const KeyOwner &owner)
 {
-    return json{ { "host", owner.host.value() },
-                 { "incarnation", owner.incarnation.value() },
-                 { "claimed_unix_ms", absl::ToUnixMillis(owner.claimed) } }
-            .dump();
+    return json{
+        { "host", owner.host.value() },
+        { "incarnation", owner.incarnation.value() },
+        { "claimed_unix_ms", absl::ToUnixMillis(owner.claimed) }
+    }.dump();
 }
 
 std::optional<KeyOwner> ownerFromRow(const TableRow &row)
@@ -40,9 +41,10 @@
 } // namespace
 
 KeyClaim::KeyClaim(const IdempotencyKey &key, KeyOwner self, absl::Time deadline)
-    : m_rowKey(rowKey(key)), m_self(std::move(self)), m_deadline(deadline)
-{
-}
+    : m_rowKey(rowKey(key))
+    , m_self(std::move(self))
+    , m_deadline(deadline)
+{}
 
 std::string KeyClaim::rowKey(const IdempotencyKey &key)
 {
--- a/packages/decisions/src/serving/OperationLedger.cpp
+++ b/packages/decisions/src/serving/OperationLedger.cpp
@@ -10,9 +10,11 @@
 
 OperationLedger::OperationLedger(HostId self, Incarnation incarnation, std::uint64_t secret,
                                  LedgerPolicy policy)
-    : m_self(std::move(self)), m_incarnation(incarnation), m_secret(secret), m_policy(policy)
-{
-}
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_secret(secret)
+    , m_policy(policy)
+{}
 
 std::uint64_t OperationLedger::proofOf(std::uint64_t counter) const
 {
@@ -28,7 +30,7 @@
 bool OperationLedger::isOwn(const IssuedKey &key) const
 {
     return key.owner == m_self && key.incarnation == m_incarnation && key.counter <= m_issued
-            && key.proof == proofOf(key.counter);
+           && key.proof == proofOf(key.counter);
 }
 
 KeyState OperationLedger::beginIssued(const IssuedKey &key, std::uint64_t fingerprint,
--- a/packages/decisions/src/serving/RankQueue.cpp
+++ b/packages/decisions/src/serving/RankQueue.cpp
@@ -12,11 +12,9 @@
     if (limit == 0)
         return result;
     if (m_size >= limit) {
-        const auto longest =
-                std::max_element(m_byCaller.begin(), m_byCaller.end(),
-                                 [](const auto &a, const auto &b) {
-                                     return a.second.size() < b.second.size();
-                                 });
+        const auto longest = std::max_element(
+                m_byCaller.begin(), m_byCaller.end(),
+                [](const auto &a, const auto &b) { return a.second.size() < b.second.size(); });
         const auto own = m_byCaller.find(call.caller);
         const std::size_t ownSize = own == m_byCaller.end() ? 0 : own->second.size();
         if (longest->second.size() <= ownSize + 1)
--- a/packages/decisions/src/serving/RoutingTable.cpp
+++ b/packages/decisions/src/serving/RoutingTable.cpp
@@ -18,7 +18,7 @@
 bool mayTakeWork(const Service &service, const HostRecord &record)
 {
     return (service.zones.empty() || service.zones.contains(record.zone))
-            && !service.withheldHosts.contains(record.host);
+           && !service.withheldHosts.contains(record.host);
 }
 
 } // namespace
@@ -62,9 +62,9 @@
         if (it == m_services.end() || server.state != BackendServerState::Ready
             || !mayTakeWork(it->second.service, record))
             continue;
-        it->second.byProximity[proximity].push_back(
-                { record.host, server.id, record.address, server.slots, server.startedUnixMs,
-                  record.stamp.liveness == Liveness::Suspect });
+        it->second.byProximity[proximity].push_back({ record.host, server.id, record.address,
+                                                      server.slots, server.startedUnixMs,
+                                                      record.stamp.liveness == Liveness::Suspect });
         ++m_targetCount;
     }
 }
--- a/packages/decisions/src/serving/SlotLimit.cpp
+++ b/packages/decisions/src/serving/SlotLimit.cpp
@@ -15,9 +15,11 @@
 } // namespace
 
 SlotLimit::SlotLimit(std::uint32_t slots, absl::Time started, absl::Duration slowStart)
-    : m_slots(slots), m_started(started), m_slowStart(slowStart), m_learnt(slots)
-{
-}
+    : m_slots(slots)
+    , m_started(started)
+    , m_slowStart(slowStart)
+    , m_learnt(slots)
+{}
 
 void SlotLimit::update(std::uint32_t slots, absl::Time started, absl::Duration slowStart)
 {
