Test decisions under faults and judge targets by cause, not by load

Refusals for load ejected healthy targets, so that ejected ones became the majority and dead hosts were tried again; a near list with none left open was tried all the same. Excluded: the retry budget (1.099 attempts a call, within its bound) and the gate (no order waited). Change: refusals for load no longer eject; ejection is weighed over all targets of the service. Tests: convergence faults one by one and in random sequences, at-most-once keys, floods, units.

--- a/packages/decisions/include/godwitlift/serving/BackendPicker.h
+++ b/packages/decisions/include/godwitlift/serving/BackendPicker.h
@@ -30,12 +30,16 @@
 };
 
 /// How an attempt ended, as far as the choice of later targets is concerned.
-enum class AttemptQuality : std::uint8_t { Good, Refused, Failed };
+enum class AttemptQuality : std::uint8_t {
+    Good, ///< A whole answer.
+    Busy, ///< Refused for load; says nothing against the target, only that it is full for the rank.
+    Bad   ///< Refused or failed for another reason.
+};
 
 /// Two random choices by load within the nearest proximity that has room. Not thread-safe.
 ///
-/// A target that keeps refusing or failing is ejected for a while; never more than half of the
-/// candidates are, so that a fault that all share does not leave none.
+/// A target that keeps failing is ejected for a while; never more than half of the service's
+/// targets are, so that a fault that all share does not leave none.
 class BackendPicker final
 {
 public:
@@ -62,9 +66,15 @@
         absl::Time ejectedUntil = absl::InfinitePast();
     };
 
-    std::vector<const Target *> usable(const std::vector<Target> &targets,
-                                       const std::set<TargetKey> &tried, bool withSuspects,
-                                       absl::Time now) const;
+    /// Targets that may be tried, by proximity.
+    struct Candidates
+    {
+        std::vector<const Target *> byProximity[3];
+    };
+
+    Candidates candidates(const ServiceTargets &targets, const std::set<TargetKey> &tried,
+                          absl::Time now) const;
+    bool isEjected(const Target &target, absl::Time now) const;
     double score(const Target &target, absl::Time now) const;
     bool hasRoom(const Target &target, absl::Time now) const;
     const Target *better(const std::vector<const Target *> &candidates, absl::Time now);
--- a/packages/decisions/include/godwitlift/serving/Gate.h
+++ b/packages/decisions/include/godwitlift/serving/Gate.h
@@ -119,7 +119,6 @@
     std::uint32_t headroom(std::size_t lane, std::uint32_t limit) const;
     bool mayStart(std::size_t lane, std::uint32_t limit) const;
     std::optional<std::size_t> nextLane(std::uint32_t limit) const;
-    std::optional<std::size_t> firstComeLane() const;
     void start(std::size_t lane, AttemptId attempt, absl::Time now, GateStep &step);
     void startWaiting(absl::Time now, GateStep &step);
     absl::Duration expectedWait(std::size_t lane, std::uint32_t limit) const;
--- a/packages/decisions/include/godwitlift/serving/Gates.h
+++ b/packages/decisions/include/godwitlift/serving/Gates.h
@@ -42,6 +42,10 @@
 class Gates final
 {
 public:
+    explicit Gates(GateDiscipline discipline = GateDiscipline::Ranked)
+        : m_discipline(discipline)
+    {}
+
     /// Takes over the announced backend servers and the policy in force.
     GatesStep sync(const std::vector<BackendServer> &servers, const RoutingTable &table,
                    absl::Time now);
@@ -67,6 +71,7 @@
 
     void collect(const BackendServerId &server, Entry &entry, GateStep step, GatesStep &all);
 
+    GateDiscipline m_discipline;
     std::map<BackendServerId, Entry> m_entries;
     std::map<AttemptId, BackendServerId> m_tickets; ///< Requests that wait or run.
     bool m_draining = false;
--- a/packages/decisions/src/serving/BackendPicker.cpp
+++ b/packages/decisions/src/serving/BackendPicker.cpp
@@ -24,22 +24,35 @@
 
 } // namespace
 
-std::vector<const Target *> BackendPicker::usable(const std::vector<Target> &targets,
-                                                  const std::set<TargetKey> &tried,
-                                                  bool withSuspects, absl::Time now) const
+bool BackendPicker::isEjected(const Target &target, absl::Time now) const
 {
-    std::vector<const Target *> open;
-    std::vector<const Target *> ejected;
-    for (const Target &target : targets) {
-        if (tried.contains(keyOf(target)) || (target.isSuspect && !withSuspects))
-            continue;
-        const auto it = m_states.find(keyOf(target));
-        const bool isEjected = it != m_states.end() && it->second.ejectedUntil > now;
-        (isEjected ? ejected : open).push_back(&target);
+    const auto it = m_states.find(keyOf(target));
+    return it != m_states.end() && it->second.ejectedUntil > now;
+}
+
+BackendPicker::Candidates BackendPicker::candidates(const ServiceTargets &targets,
+                                                    const std::set<TargetKey> &tried,
+                                                    absl::Time now) const
+{
+    Candidates open;
+    Candidates doubtful;
+    std::size_t openCount = 0;
+    std::size_t doubtfulCount = 0;
+    for (std::size_t i = 0; i < std::size(targets.byProximity); ++i) {
+        for (const Target &target : targets.byProximity[i]) {
+            const bool isDoubtful = target.isSuspect || isEjected(target, now);
+            ++(isDoubtful ? doubtfulCount : openCount);
+            if (!tried.contains(keyOf(target)))
+                (isDoubtful ? doubtful : open).byProximity[i].push_back(&target);
+        }
+    }
+    // Beyond half of the targets, doubt is taken for a fault that they share or that is here.
+    if (openCount >= doubtfulCount)
+        return open;
+    for (std::size_t i = 0; i < std::size(open.byProximity); ++i) {
+        auto &list = open.byProximity[i];
+        list.insert(list.end(), doubtful.byProximity[i].begin(), doubtful.byProximity[i].end());
     }
-    // Ejection keeps a floor: beyond half of the candidates it is taken for a fault they share.
-    if (open.size() < ejected.size())
-        open.insert(open.end(), ejected.begin(), ejected.end());
     return open;
 }
 
@@ -79,18 +92,16 @@
                                   absl::Time now)
 {
     const Target *fallback = nullptr;
-    for (const bool withSuspects : { false, true }) {
-        for (const auto &list : targets.byProximity) {
-            const auto candidates = usable(list, tried, withSuspects, now);
-            if (candidates.empty())
-                continue;
-            const Target *choice = better(candidates, now);
-            if (hasRoom(*choice, now))
-                return choice;
-            // No room near: look further away, but remember the nearest.
-            if (fallback == nullptr || score(*choice, now) < score(*fallback, now))
-                fallback = choice;
-        }
+    const Candidates open = candidates(targets, tried, now);
+    for (const auto &list : open.byProximity) {
+        if (list.empty())
+            continue;
+        const Target *choice = better(list, now);
+        if (hasRoom(*choice, now))
+            return choice;
+        // No room near: look further away, but remember the nearest of the least loaded.
+        if (fallback == nullptr || score(*choice, now) < score(*fallback, now))
+            fallback = choice;
     }
     return fallback;
 }
@@ -108,6 +119,8 @@
     state.heard = now;
     if (load.limit > 0)
         state.load = load;
+    if (quality == AttemptQuality::Busy)
+        return;
     if (quality == AttemptQuality::Good) {
         state.failures = 0;
         state.ejectedUntil = absl::InfinitePast();
--- a/packages/decisions/src/serving/Gate.cpp
+++ b/packages/decisions/src/serving/Gate.cpp
@@ -110,19 +110,10 @@
     return m_inUse + headroom(lane, limit) < limit;
 }
 
-std::optional<std::size_t> Gate::firstComeLane() const
-{
-    // Each lane is asked for its head by age; queues hold arrival order per caller only, so the
-    // comparison discipline uses a single lane, see arrive().
-    return m_lanes.front().queue.isEmpty() ? std::nullopt : std::optional<std::size_t>(0);
-}
-
 std::optional<std::size_t> Gate::nextLane(std::uint32_t limit) const
 {
     if (m_inUse >= limit)
         return std::nullopt;
-    if (m_discipline == GateDiscipline::FirstCome)
-        return firstComeLane();
     for (std::size_t i = 0; i < m_lanes.size(); ++i) {
         if (!m_lanes[i].queue.isEmpty() && m_lanes[i].inUse < floorSlots(m_lanes[i], limit)
             && mayStart(i, limit))
@@ -206,7 +197,9 @@
         step.refusals.push_back({ call.attempt, Reason::DeadlineUnmeetable, wait });
         return step;
     }
-    auto pushed = m_lanes[lane].queue.push({ call.attempt, call.caller, now, call.deadline },
+    // A plain queue does not tell its callers apart.
+    const CallerId caller = m_discipline == GateDiscipline::FirstCome ? CallerId() : call.caller;
+    auto pushed = m_lanes[lane].queue.push({ call.attempt, caller, now, call.deadline },
                                            m_lanes[lane].policy.queueLimit);
     if (!pushed.queued)
         step.refusals.push_back({ call.attempt, Reason::QueueFull, wait });
--- a/packages/decisions/src/serving/Gates.cpp
+++ b/packages/decisions/src/serving/Gates.cpp
@@ -38,8 +38,10 @@
     const auto &ranks = table.configuration().ranks;
     for (const auto &[id, server] : announced) {
         const SlotLimit limit = limitFor(*server, table);
-        const auto it =
-                m_entries.try_emplace(id, Entry{ Gate(limit, ranks), server->address, true }).first;
+        const auto it = m_entries
+                                .try_emplace(id, Entry{ Gate(limit, ranks, m_discipline),
+                                                        server->address, true })
+                                .first;
         Entry &entry = it->second;
         if (entry.address != server->address || !entry.isAnnounced) {
             // A new process under the same name: its gate starts anew, the old one's calls end.
--- a/packages/decisions/src/serving/Ingress.cpp
+++ b/packages/decisions/src/serving/Ingress.cpp
@@ -12,11 +12,25 @@
 /// Time past the deadline after which an attempt without any answer counts as lost.
 constexpr absl::Duration LostGrace = absl::Milliseconds(100);
 
+bool isLoadRefusal(Reason reason)
+{
+    switch (reason) {
+    case Reason::QueueFull:
+    case Reason::Displaced:
+    case Reason::DeadlineUnmeetable:
+    case Reason::DeadlineExpired:
+    case Reason::Cancelled:
+        return true;
+    default:
+        return false;
+    }
+}
+
 AttemptQuality qualityOf(const AttemptReport &report)
 {
     if (report.verdict == Verdict::Ran)
         return AttemptQuality::Good;
-    return report.verdict == Verdict::NotRun ? AttemptQuality::Refused : AttemptQuality::Failed;
+    return isLoadRefusal(report.reason) ? AttemptQuality::Busy : AttemptQuality::Bad;
 }
 
 } // namespace
--- /dev/null
+++ b/tests/support/Deployments.cpp
@@ -0,0 +1,93 @@
+/// \file
+/// Sizes and ordinary loads of the deployments.
+#include "Deployments.h"
+
+#include "godwitlift/configuration/ConfigurationCodec.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace godwitlift::test {
+
+namespace {
+
+/// Share of the capacity that one route takes in an ordinary hour, and its mean work.
+struct OrdinaryLoad
+{
+    const char *route;
+    double share;
+    double meanSeconds;
+};
+
+DeployedService deployed(const std::string &name, const Configuration &configuration,
+                         std::vector<std::string> zones, int instances,
+                         const std::vector<OrdinaryLoad> &loads)
+{
+    DeployedService service;
+    service.name = name;
+    service.model.configuration = configuration;
+    service.model.service = ServiceId(name.substr(name.find('/') + 1));
+    service.model.zones = std::move(zones);
+    service.model.instances = instances;
+    for (const OrdinaryLoad &load : loads) {
+        RouteLoad route{ RouteId(load.route), 0, load.meanSeconds };
+        route.perSecond = load.share * service.capacityPerSecond(route);
+        service.loads.push_back(route);
+    }
+    return service;
+}
+
+} // namespace
+
+double DeployedService::capacityPerSecond(const RouteLoad &load) const
+{
+    return model.instances * model.slots / load.meanSeconds;
+}
+
+Configuration readDeployment(const std::string &folder)
+{
+    Configuration whole;
+    std::vector<std::filesystem::path> paths;
+    for (const auto &entry : std::filesystem::directory_iterator(folder))
+        paths.push_back(entry.path());
+    std::sort(paths.begin(), paths.end());
+    for (const auto &path : paths) {
+        std::ifstream file(path);
+        const std::string text{ std::istreambuf_iterator<char>(file), {} };
+        std::string problem;
+        const auto part = valueOr([&] { return decodeConfiguration(text); }, problem);
+        if (!part) {
+            std::cerr << path << ": " << problem << "\n";
+            std::abort();
+        }
+        whole.ranks.insert(part->ranks.begin(), part->ranks.end());
+        whole.services.insert(part->services.begin(), part->services.end());
+        whole.routes.insert(part->routes.begin(), part->routes.end());
+    }
+    return whole;
+}
+
+std::vector<DeployedService> deployedServices(const std::string &examplesFolder)
+{
+    const Configuration jarvey = readDeployment(examplesFolder + "/jarvey");
+    const Configuration cordao = readDeployment(examplesFolder + "/cordao");
+    const std::vector<std::string> leinster = { "liberties", "ringsend", "phibsborough" };
+    const std::vector<std::string> nordeste = { "caruaru", "recife", "campina", "fortaleza" };
+    return {
+        deployed("jarvey/booking-desk", jarvey, leinster, 6,
+                 { { "fares", 0.15, 0.02 },
+                   { "rosters", 0.15, 0.01 },
+                   { "photo-packs", 0.2, 0.4 } }),
+        deployed("jarvey/stable-ledger", jarvey, leinster, 3,
+                 { { "stable-entries", 0.2, 0.02 }, { "stable-reports", 0.3, 0.3 } }),
+        deployed("cordao/order-app", cordao, nordeste, 7,
+                 { { "orders", 0.2, 0.03 }, { "stock", 0.3, 0.01 } }),
+        deployed("cordao/artwork", cordao, nordeste, 5,
+                 { { "proofs", 0.4, 0.5 }, { "artwork-checks", 0.1, 0.005 } }),
+    };
+}
+
+} // namespace godwitlift::test
--- /dev/null
+++ b/tests/unit/MembershipTests.cpp
@@ -0,0 +1,144 @@
+/// \file
+/// Directory, topology, local backend servers, backoff.
+#include "godwitlift/distribution/AdmissionBucket.h"
+#include "godwitlift/distribution/Backoff.h"
+#include "godwitlift/distribution/RelayTopology.h"
+#include "godwitlift/membership/HostDirectory.h"
+#include "godwitlift/membership/LocalBackendServers.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace godwitlift;
+
+namespace {
+
+const absl::Time Now = absl::FromUnixSeconds(1'000'000);
+
+HostRecord recordOf(int number, std::uint64_t sequence = 1, Liveness liveness = Liveness::Alive)
+{
+    HostRecord record;
+    record.host = HostId(absl::StrCat("h", number));
+    record.zone = ZoneId("z");
+    record.address = Address("10.0.0.1:1");
+    record.stamp = { Incarnation(1), Sequence(sequence), liveness };
+    return record;
+}
+
+HostDirectory directoryOf(int count)
+{
+    HostDirectory directory;
+    for (int i = 0; i < count; ++i)
+        directory.merge(recordOf(i), Now);
+    return directory;
+}
+
+} // namespace
+
+TEST_CASE("Records merge to the same state in any order")
+{
+    const bool holds = rc::check("merge order", [](const std::vector<unsigned char> &choices) {
+        std::vector<HostRecord> records;
+        for (const unsigned char choice : choices)
+            records.push_back(
+                    recordOf(choice % 3, choice / 3 % 5, static_cast<Liveness>(choice / 15 % 3)));
+        HostDirectory forward;
+        HostDirectory backward;
+        for (const HostRecord &record : records)
+            forward.merge(record, Now);
+        for (auto it = records.rbegin(); it != records.rend(); ++it)
+            backward.merge(*it, Now);
+        RC_ASSERT(forward.digest() == backward.digest());
+        RC_ASSERT(forward.memberCount(ZoneId("z")) == backward.memberCount(ZoneId("z")));
+        RC_ASSERT(forward.memberCount(ZoneId("z")) == forward.members(ZoneId("z")).size());
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("A late message does not bring a dead host back")
+{
+    HostDirectory directory = directoryOf(2);
+    directory.merge(recordOf(1, 1, Liveness::Dead), Now);
+    CHECK_FALSE(directory.merge(recordOf(1, 1), Now + absl::Hours(23)));
+    directory.expire(Now + absl::Hours(23));
+    CHECK(directory.find(HostId("h1")) != nullptr);
+    directory.expire(Now + absl::Hours(24));
+    CHECK(directory.find(HostId("h1")) == nullptr);
+    CHECK(directory.merge(recordOf(0, 2), Now));
+}
+
+TEST_CASE("A comparison of stamps finds what either side lacks")
+{
+    HostDirectory here = directoryOf(3);
+    HostDirectory there = directoryOf(4);
+    here.merge(recordOf(1, 2), Now);
+    const StampComparison comparison = here.compare(ZoneId("z"), there.stamps(ZoneId("z")));
+    REQUIRE(comparison.newerHere.size() == 1);
+    CHECK(comparison.newerHere[0].host == HostId("h1"));
+    CHECK(comparison.olderHere);
+}
+
+TEST_CASE("A missing relay moves only those that followed it")
+{
+    HostDirectory directory = directoryOf(100);
+    const RelayTopology before(directory, ZoneId("z"), {});
+    CHECK(before.roots().size() == 2);
+    CHECK(before.relays().size() == 10);
+    const HostId lost = before.relays()[5];
+    const RelayTopology after(directory, ZoneId("z"), { lost });
+    int moved = 0;
+    for (const auto &entry : directory.records()) {
+        const HostId &host = entry.first;
+        if (before.level(host) != RelayLevel::Leaf || after.level(host) != RelayLevel::Leaf)
+            continue;
+        const bool followedLost = before.parent(host) == lost;
+        // The eleventh best host replaces the lost one and takes its own followers.
+        const bool toNewcomer = after.parent(host) == after.relays().back();
+        if (after.parent(host) != before.parent(host)) {
+            ++moved;
+            CHECK((followedLost || toNewcomer));
+        }
+    }
+    CHECK(moved > 0);
+}
+
+TEST_CASE("A drain is final for a process and heartbeats that stop take a server out")
+{
+    LocalBackendServers servers;
+    Announcement announcement{ BackendServerId("b"), ServiceId("s"), Address("127.0.0.1:1"), 20,
+                               false };
+    CHECK(servers.announce(announcement, Now));
+    CHECK_FALSE(servers.announce(announcement, Now + absl::Seconds(1)));
+    CHECK(servers.drain(BackendServerId("b")));
+    CHECK_FALSE(servers.announce(announcement, Now + absl::Seconds(2)));
+    CHECK(servers.list()[0].state == BackendServerState::Draining);
+    CHECK_FALSE(servers.expire(Now + absl::Seconds(4)));
+    CHECK(servers.expire(Now + absl::Seconds(5)));
+    CHECK(servers.announce(announcement, Now + absl::Seconds(6)));
+    CHECK(servers.list()[0].state == BackendServerState::Ready);
+}
+
+TEST_CASE("Backoff spreads over a doubling range up to its ceiling")
+{
+    SeededRandom random(3);
+    Backoff backoff(absl::Seconds(1), absl::Seconds(8));
+    absl::Duration longest;
+    for (int i = 0; i < 200; ++i)
+        longest = std::max(longest, backoff.failed(random));
+    CHECK(longest <= absl::Seconds(8));
+    CHECK(longest > absl::Seconds(6));
+    backoff.succeeded();
+    CHECK(backoff.failed(random) <= absl::Seconds(1));
+}
+
+TEST_CASE("An admission bucket allows its burst and then its rate")
+{
+    AdmissionBucket bucket(10, 5);
+    int admitted = 0;
+    for (int i = 0; i < 100; ++i)
+        admitted += bucket.tryTake(Now + absl::Milliseconds(10 * i)) ? 1 : 0;
+    CHECK(admitted >= 14);
+    CHECK(admitted <= 15);
+    CHECK(bucket.waitFor(5) > absl::ZeroDuration());
+}
