--- a/packages/adapters/src/CallAnswer.h
+++ b/packages/adapters/src/CallAnswer.h
@@ -40,7 +40,7 @@
 {
 public:
     /// Bytes that are held back until the answer is whole.
-    static constexpr std::size_t HoldLimitBytes = 64 * 1024;
+    static constexpr std::size_t HoldLimitBytes = 64U << 10U;
 
     explicit CallAnswer(std::unique_ptr<CallerPort> port);
 
--- a/packages/adapters/src/CurlBackendClient.cpp
+++ b/packages/adapters/src/CurlBackendClient.cpp
@@ -24,7 +24,7 @@
 namespace {
 
 constexpr long ConnectTimeoutMs = 500;
-constexpr long ReceiveBufferBytes = 64 * 1024;
+constexpr long ReceiveBufferBytes = 64L << 10U;
 constexpr int PollMs = 10;
 constexpr long IdleConnectionSeconds = 30;
 constexpr std::size_t HeaderLimit = 128;
--- a/packages/adapters/src/GateRuntime.cpp
+++ b/packages/adapters/src/GateRuntime.cpp
@@ -19,10 +19,10 @@
                               arrival.deadline, false };
         step = m_gates.arrive(arrival, now);
     }
-    carryOut(std::move(step));
+    carryOut(step);
 }
 
-void ServingRuntime::carryOut(GatesStep step)
+void ServingRuntime::carryOut(const GatesStep &step)
 {
     for (const GateRefusal &refusal : step.refusals)
         refuseAtGate(refusal);
@@ -97,7 +97,7 @@
         m_metrics.gateRefused(reason);
         ended.sink->refuse(refusal);
     }
-    carryOut(std::move(step));
+    carryOut(step);
 }
 
 void ServingRuntime::cancelAbandonedTickets()
--- a/packages/adapters/src/GrpcPeerServer.cpp
+++ b/packages/adapters/src/GrpcPeerServer.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 /// Bytes of answer that may wait for the network before the sender is asked to pause.
-constexpr std::size_t PendingLimitBytes = 256 * 1024;
+constexpr std::size_t PendingLimitBytes = 256U << 10U;
 
 /// Streams one answer back to the peer. Frames are written in order, one at a time.
 ///
--- a/packages/adapters/src/MicrohttpdServer.cpp
+++ b/packages/adapters/src/MicrohttpdServer.cpp
@@ -22,9 +22,9 @@
 namespace {
 
 /// Answer bytes that may wait for a slow client before the sender is asked to pause.
-constexpr std::size_t BufferLimitBytes = 256 * 1024;
-constexpr std::size_t BlockBytes = 64 * 1024;
-constexpr std::size_t HeaderLimitBytes = 32 * 1024;
+constexpr std::size_t BufferLimitBytes = 256U << 10U;
+constexpr std::size_t BlockBytes = 64U << 10U;
+constexpr std::size_t HeaderLimitBytes = 32U << 10U;
 constexpr int PayloadTooLarge = 413;
 
 using Resume = std::function<void()>;
--- a/packages/adapters/src/NodeSettings.cpp
+++ b/packages/adapters/src/NodeSettings.cpp
@@ -17,7 +17,7 @@
 
 Address readAddress(ObjectReader &reader, std::string_view key)
 {
-    const Address address(reader.text(key));
+    Address address(reader.text(key));
     std::string ip;
     std::uint16_t port = 0;
     if (!address.isEmpty() && !splitAddress(address, ip, port))
--- a/packages/adapters/src/ServingRuntime.cpp
+++ b/packages/adapters/src/ServingRuntime.cpp
@@ -69,7 +69,7 @@
         report.reason = m_problem;
         if (m_problem == Reason::None)
             report.answer = m_answer->stored();
-        m_runtime.attemptEnded(std::move(report));
+        m_runtime.attemptEnded(report);
     }
     void refuse(const AnswerRefusal &refusal) override
     {
@@ -77,7 +77,7 @@
         report.verdict = refusal.verdict;
         report.reason = refusal.reason;
         report.retryAfter = refusal.retryAfter;
-        m_runtime.attemptEnded(std::move(report));
+        m_runtime.attemptEnded(report);
     }
     bool wantsMore(std::function<void()> resume) override
     {
@@ -194,7 +194,7 @@
     for (const BackendServer &server : compiled.ownBackendServers)
         slots += server.slots;
     m_backends.ensureWorkers(slots);
-    carryOut(std::move(step));
+    carryOut(step);
 }
 
 void ServingRuntime::handle(std::shared_ptr<HttpExchange> exchange)
@@ -424,7 +424,7 @@
     }
 }
 
-void ServingRuntime::attemptEnded(AttemptReport report)
+void ServingRuntime::attemptEnded(const AttemptReport &report)
 {
     IngressStep step;
     {
@@ -456,7 +456,7 @@
     for (const AttemptId attempt : step.cancellations)
         cancelAttempt(attempt, true);
     step.cancellations.clear();
-    carryOut(std::move(gates));
+    carryOut(gates);
     carryOut(std::move(step));
 }
 
@@ -478,7 +478,7 @@
         report.attempt = attempt;
         report.reason = Reason::AnswerStalled;
         report.answerStarted = true;
-        attemptEnded(std::move(report));
+        attemptEnded(report);
     }
 }
 
--- a/packages/adapters/src/ServingRuntime.h
+++ b/packages/adapters/src/ServingRuntime.h
@@ -75,14 +75,14 @@
     CallId begin(CallHead head, ActiveCall call);
     void callerGone(CallId call);
     void carryOut(IngressStep step);
-    void carryOut(GatesStep step);
+    void carryOut(const GatesStep &step);
     void forward(const ForwardOrder &order);
     void relay(const RelayOrder &order);
     void refuse(const CallRefusal &refusal);
     void replay(const ReplayOrder &order);
     void complete(CallId call);
     void cancelAttempt(AttemptId attempt, bool isSilent);
-    void attemptEnded(AttemptReport report);
+    void attemptEnded(const AttemptReport &report);
     void startAtGate(const GateStart &start);
     void gateEnded(AttemptId ticket, RunEnd end, Reason reason, std::uint64_t received);
     void refuseAtGate(const GateRefusal &refusal);
--- a/packages/decisions/include/godwitlift/serving/Gates.h
+++ b/packages/decisions/include/godwitlift/serving/Gates.h
@@ -69,7 +69,7 @@
         bool isAnnounced = true;
     };
 
-    void collect(const BackendServerId &server, Entry &entry, GateStep step, GatesStep &all);
+    void collect(const BackendServerId &server, Entry &entry, const GateStep &step, GatesStep &all);
 
     GateDiscipline m_discipline;
     std::map<BackendServerId, Entry> m_entries;
--- a/packages/decisions/include/godwitlift/serving/OperationLedger.h
+++ b/packages/decisions/include/godwitlift/serving/OperationLedger.h
@@ -38,7 +38,7 @@
 {
     absl::Duration retention = absl::Hours(24); ///< Time for which keys are remembered.
     std::size_t keyLimit = 200'000;
-    std::size_t answerLimitBytes = 64 * 1024;     ///< Larger answers are not kept.
+    std::size_t answerLimitBytes = 64U << 10U;    ///< Larger answers are not kept.
     std::size_t answerBudgetBytes = 48ULL << 20U; ///< Answers kept altogether.
 };
 
--- a/packages/decisions/src/json/ObjectReader.cpp
+++ b/packages/decisions/src/json/ObjectReader.cpp
@@ -163,7 +163,7 @@
 
 std::string ObjectReader::choice(std::string_view key, const std::vector<std::string> &choices)
 {
-    const std::string read = textOr(key, choices.front());
+    std::string read = textOr(key, choices.front());
     if (std::find(choices.begin(), choices.end(), read) == choices.end()) {
         fault(key, absl::StrCat("expected one of ", absl::StrJoin(choices, ", ")));
         return choices.front();
--- a/packages/decisions/src/serving/Gate.cpp
+++ b/packages/decisions/src/serving/Gate.cpp
@@ -36,6 +36,7 @@
 void Gate::setRanks(const std::map<RankId, Rank> &ranks)
 {
     std::vector<Rank> ordered;
+    ordered.reserve(ranks.size());
     for (const auto &entry : ranks)
         ordered.push_back(entry.second);
     if (ordered.empty())
--- a/packages/decisions/src/serving/Gates.cpp
+++ b/packages/decisions/src/serving/Gates.cpp
@@ -16,13 +16,14 @@
 
 } // namespace
 
-void Gates::collect(const BackendServerId &server, Entry &entry, GateStep step, GatesStep &all)
+void Gates::collect(const BackendServerId &server, Entry &entry, const GateStep &step,
+                    GatesStep &all)
 {
     for (const AttemptId ticket : step.starts)
         all.starts.push_back({ ticket, entry.address });
-    for (GateRefusal &refusal : step.refusals) {
+    for (const GateRefusal &refusal : step.refusals) {
         m_tickets.erase(refusal.attempt);
-        all.refusals.push_back(std::move(refusal));
+        all.refusals.push_back(refusal);
     }
     if (!entry.isAnnounced && entry.gate.inUse() == 0)
         m_entries.erase(server);
--- /dev/null
+++ b/tests/replay/Replay.cpp
@@ -0,0 +1,261 @@
+/// \file
+/// Replays recorded traces against stated outcomes; the format is described in docs/TRACES.md.
+#include "godwitlift/configuration/ConfigurationCodec.h"
+#include "godwitlift/json/ObjectReader.h"
+#include "godwitlift/node/ControlPlane.h"
+#include "godwitlift/serving/Ingress.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <fstream>
+#include <iostream>
+#include <map>
+
+namespace {
+
+using namespace godwitlift;
+using nlohmann::json;
+
+constexpr std::uint64_t Seed = 1;
+
+/// The node that a trace drives: its control plane and its ingress.
+class Replay final : public OwnerLookup
+{
+public:
+    Replay()
+        : m_controlRandom(Seed)
+        , m_servingRandom(Seed)
+    {
+        NodeIdentity identity{
+            HostId("traced"), ZoneId("zone"), RegionId("region"), Address("10.0.0.1:7400"), {},
+            Incarnation(1)
+        };
+        std::string problem;
+        m_plane = std::move(
+                *valueOr([&] { return ControlPlane::create(identity, {}, m_now, m_controlRandom); },
+                         problem));
+        m_ingress = std::make_unique<Ingress>(identity.host, identity.incarnation, IngressPolicy(),
+                                              *this, m_servingRandom);
+    }
+
+    /// Carries out one line; returns what is wrong, or nothing.
+    std::string run(const json &line)
+    {
+        if (line.contains("at_ms"))
+            m_now = m_start + absl::Milliseconds(line["at_ms"].get<std::int64_t>());
+        if (line.contains("expect"))
+            return expect(line);
+        input(line);
+        return {};
+    }
+
+    std::optional<KnownHost> find(const HostId &host) const override
+    {
+        const HostRecord *record = m_plane->directory().find(host);
+        if (record == nullptr || !record->isMember())
+            return std::nullopt;
+        return KnownHost{ record->address, record->stamp.incarnation };
+    }
+
+private:
+    void input(const json &line)
+    {
+        const std::string kind = line.at("input");
+        const Peer peer{ HostId(line.value("from", "peer")), Address("10.0.0.2:7400") };
+        if (kind == "snapshot") {
+            const std::string text = contentText(line);
+            take(m_plane->receive(
+                    peer,
+                    SnapshotOffer{ { Version(line.at("version")),
+                                     Digest(line.value("digest", digestText(text))), text } },
+                    m_now));
+        } else if (kind == "step") {
+            StepsOffer offer;
+            offer.steps = { stepOf(line) };
+            take(m_plane->receive(peer, offer, m_now));
+        } else if (kind == "record") {
+            take(m_plane->receive(peer, RecordsOffer{ { recordOf(line) } }, m_now));
+        } else if (kind == "tick") {
+            take(m_plane->tick(m_now));
+            take(m_ingress->tick(m_now));
+        } else if (kind == "call") {
+            take(m_ingress->arrive(headOf(line), m_now));
+        } else if (kind == "attempt_ended") {
+            take(m_ingress->attemptEnded(reportOf(line), m_now));
+        } else {
+            throw std::runtime_error("unknown input " + kind);
+        }
+    }
+
+    static std::string contentText(const json &line)
+    {
+        std::string problem;
+        const auto content =
+                valueOr([&] { return decodeConfiguration(line.at("content").dump()); }, problem);
+        return content ? encode(*content) : line.at("content").dump();
+    }
+
+    static std::string digestText(const std::string &text)
+    {
+        std::string problem;
+        const auto content = valueOr([&] { return decodeConfiguration(text); }, problem);
+        return content ? digestOf(*content).value() : "-";
+    }
+
+    DeltaStep stepOf(const json &line)
+    {
+        DeltaStep step;
+        step.from = Version(line.at("from_version"));
+        step.to = Version(line.at("version"));
+        step.text = line.at("delta").dump();
+        std::string problem;
+        const auto base =
+                valueOr([&] { return decodeConfiguration(line.at("base").dump()); }, problem);
+        const auto delta = valueOr([&] { return decodeDelta(step.text); }, problem);
+        if (base && delta)
+            step.digest = digestOf(delta->appliedTo(*base));
+        return step;
+    }
+
+    static HostRecord recordOf(const json &line)
+    {
+        HostRecord record;
+        record.host = HostId(line.at("host").get<std::string>());
+        record.zone = ZoneId(line.value("zone", "zone"));
+        record.region = RegionId("region");
+        record.address = Address("10.0.0.9:7400");
+        record.stamp.incarnation = Incarnation(line.value("incarnation", 1));
+        record.stamp.sequence = Sequence(line.at("sequence"));
+        record.stamp.liveness = static_cast<Liveness>(line.value("liveness", 0));
+        if (line.contains("service")) {
+            BackendServer server;
+            server.id = BackendServerId("b");
+            server.service = ServiceId(line["service"].get<std::string>());
+            server.slots = 20;
+            server.state = line.value("draining", false) ? BackendServerState::Draining
+                                                         : BackendServerState::Ready;
+            record.backendServers = { server };
+        }
+        return record;
+    }
+
+    static CallHead headOf(const json &line)
+    {
+        CallHead head;
+        head.call = CallId(line.at("call"));
+        head.path = line.at("path");
+        head.caller = CallerId("caller");
+        head.key = IdempotencyKey(line.value("key", ""));
+        head.retriesLeft = ChainRetryLimit;
+        return head;
+    }
+
+    static AttemptReport reportOf(const json &line)
+    {
+        AttemptReport report;
+        report.attempt = AttemptId(line.at("attempt"));
+        report.verdict = *verdictFromName(line.at("verdict").get<std::string>());
+        report.reason = *reasonFromName(line.value("reason", "none"));
+        return report;
+    }
+
+    void take(const ControlEffects &effects)
+    {
+        if (effects.table != nullptr)
+            m_ingress->setTable(effects.table);
+    }
+
+    void take(const IngressStep &step)
+    {
+        for (const ForwardOrder &order : step.forwards)
+            m_events.push_back(absl::StrCat("forward call=", order.call.value(),
+                                            " attempt=", order.attempt.value(),
+                                            " host=", order.target.host.value()));
+        for (const CallRefusal &refusal : step.refusals)
+            m_events.push_back(absl::StrCat("refuse call=", refusal.call.value(),
+                                            " verdict=", std::string(name(refusal.verdict)),
+                                            " reason=", std::string(name(refusal.reason))));
+        for (const CallId call : step.completions)
+            m_events.push_back(absl::StrCat("complete call=", call.value()));
+        for (const AttemptId attempt : step.cancellations)
+            m_events.push_back(absl::StrCat("cancel attempt=", attempt.value()));
+    }
+
+    std::string expect(const json &line)
+    {
+        const std::string what = line.at("expect");
+        if (what == "version")
+            return differs(what, line.at("value"), m_plane->configuration().version().value());
+        if (what == "table_version")
+            return differs(what, line.at("value"), m_ingress->table()->version().value());
+        if (what == "targets")
+            return differs(what, line.at("value"), m_ingress->table()->targetCount());
+        if (what == "member") {
+            const HostRecord *record =
+                    m_plane->directory().find(HostId(line.at("host").get<std::string>()));
+            return differs(what, line.at("value"), record != nullptr && record->isMember());
+        }
+        if (what == "events") {
+            const json events = m_events;
+            m_events.clear();
+            return differs(what, line.at("value"), events);
+        }
+        return "unknown expectation " + what;
+    }
+
+    static std::string differs(const std::string &what, const json &wanted, const json &found)
+    {
+        return wanted == found
+                       ? ""
+                       : absl::StrCat(what, ": expected ", wanted.dump(), ", found ", found.dump());
+    }
+
+    const absl::Time m_start = absl::FromUnixSeconds(1'700'000'000);
+    absl::Time m_now = m_start;
+    SeededRandom m_controlRandom;
+    SeededRandom m_servingRandom;
+    std::unique_ptr<ControlPlane> m_plane;
+    std::unique_ptr<Ingress> m_ingress;
+    std::vector<std::string> m_events; ///< Since the last expectation of events.
+};
+
+/// Number of expectations that failed, or -1 if the trace cannot be read or expects nothing.
+int replayFile(const std::string &path)
+{
+    std::ifstream file(path);
+    Replay replay;
+    std::string text;
+    int number = 0;
+    int expectations = 0;
+    int failures = 0;
+    while (std::getline(file, text)) {
+        ++number;
+        if (text.empty() || text.front() == '#')
+            continue;
+        const json line = json::parse(text, nullptr, false);
+        if (!line.is_object()) {
+            std::cerr << path << ":" << number << ": not a JSON object\n";
+            return -1;
+        }
+        expectations += line.contains("expect") ? 1 : 0;
+        const std::string problem = replay.run(line);
+        if (!problem.empty()) {
+            std::cerr << path << ":" << number << ": " << problem << "\n";
+            ++failures;
+        }
+    }
+    return expectations == 0 ? -1 : failures;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    int failures = argc < 2 ? 1 : 0;
+    for (int i = 1; i < argc; ++i) {
+        const int found = replayFile(argv[i]);
+        std::cout << argv[i] << ": " << (found == 0 ? "as stated" : "differs") << "\n";
+        failures += found == 0 ? 0 : 1;
+    }
+    return failures == 0 ? 0 : 1;
+}
