Spread host records once per neighbour and tick, and share the contact of seeds

Change: new records wait for the next tick (100 ms) and go together; the nodes of a zone share one contact of a seed per 5 s.

--- a/bench/DecisionBench.cpp
+++ b/bench/DecisionBench.cpp
@@ -100,7 +100,8 @@
     record.host = HostId(absl::StrCat("host-", number));
     record.zone = ZoneId(absl::StrCat("zone-", number % fleet.zones));
     record.region = RegionId(absl::StrCat("region-", number % fleet.zones % fleet.regions));
-    record.address = Address(absl::StrFormat("10.%d.%d.%d:7400", number >> 16, (number >> 8) & 255, number & 255));
+    record.address = Address(
+            absl::StrFormat("10.%d.%d.%d:7400", number >> 16, (number >> 8) & 255, number & 255));
     record.stamp = { Incarnation(1), Sequence(sequence), Liveness::Alive };
     BackendServer server;
     server.id = BackendServerId("server");
@@ -160,9 +161,8 @@
         const RelayTopology topology(directory, ZoneId("zone-1"), {});
         return digestText(hashOf(topology.parent(HostId("host-1")).value()));
     });
-    measure(fleet, "route-lookup", 200'000, [&] {
-        return table->route("/service-77/some/path")->route.id.value();
-    });
+    measure(fleet, "route-lookup", 200'000,
+            [&] { return table->route("/service-77/some/path")->route.id.value(); });
     SeededRandom random(fleet.seed);
     BackendPicker picker(random);
     const ServiceTargets &targets = *table->targets(ServiceId("service-7"));
--- a/packages/decisions/include/godwitlift/node/ControlPlane.h
+++ b/packages/decisions/include/godwitlift/node/ControlPlane.h
@@ -86,9 +86,13 @@
     struct Receiver;
 
     void send(const HostId &to, PeerMessage message, ControlEffects &effects) const;
-    void spread(const std::vector<HostRecord> &records, const HostId &from,
-                ControlEffects &effects);
-    void sendToOtherZones(const std::vector<PeerMessage> &messages, ControlEffects &effects) const;
+    /// Marks records that are new here for the next flush, which sends one message per neighbour
+    /// however many there are.
+    void spread(const std::vector<HostRecord> &records, const HostId &from);
+    void flushSpreading(ControlEffects &effects);
+    void offerRecords(const HostId &to, bool isOwnZoneOnly, ControlEffects &effects) const;
+    /// First root of every other zone.
+    std::vector<HostId> rootsOfOtherZones() const;
     void configurationChanged(const ConfigurationChange &change, Version before, const Peer &from,
                               absl::Time now, ControlEffects &effects);
     /// Sends what leads from \p held to the own version. \p answer, if given, is told when the
@@ -109,7 +113,7 @@
     void maybePoll(absl::Time now, ControlEffects &effects);
     void updateReadiness(absl::Time now, ControlEffects &effects);
     void compileIfDirty(ControlEffects &effects);
-    void ownStateChanged(const HostRecord &record, ControlEffects &effects);
+    void ownStateChanged(const HostRecord &record);
     void expireStatusRequests(absl::Time now, ControlEffects &effects);
     bool isRoot() const { return m_tree.level() == RelayLevel::Root; }
     std::vector<ZoneReport> reports(absl::Time now) const;
@@ -133,6 +137,14 @@
     bool m_peerAnswered = false;
     bool m_ready = false;
     bool m_tableDirty = true;
+    /// A record to be sent on, and who sent it here.
+    struct SpreadingRecord
+    {
+        HostRecord record;
+        HostId from;
+        bool isFromOwnZone = true;
+    };
+    std::map<HostId, SpreadingRecord> m_spreading; ///< Newest record per host; emptied by a flush.
     struct PendingStatus
     {
         OperatorRequestId request;
--- a/packages/decisions/src/node/ControlPlane.cpp
+++ b/packages/decisions/src/node/ControlPlane.cpp
@@ -12,6 +12,7 @@
 
 constexpr absl::Duration SeedBackoffBase = absl::Milliseconds(500);
 constexpr absl::Duration SeedBackoffCeiling = absl::Seconds(10);
+constexpr absl::Duration SettledSeedPeriod = absl::Seconds(5);
 constexpr absl::Duration ExpiryPeriod = absl::Minutes(1);
 
 } // namespace
@@ -62,45 +63,61 @@
         effects.sends.push_back({ record->address, std::move(message) });
 }
 
-void ControlPlane::sendToOtherZones(const std::vector<PeerMessage> &messages,
-                                    ControlEffects &effects) const
+std::vector<HostId> ControlPlane::rootsOfOtherZones() const
 {
     const std::set<HostId> unreachable = m_tree.unreachable();
+    std::vector<HostId> found;
     for (const ZoneId &zone : directory().zones()) {
         if (zone == m_identity.zone)
             continue;
         const auto roots = RelayTopology::rootsOf(directory(), zone, unreachable);
-        if (roots.empty())
-            continue;
-        for (const PeerMessage &message : messages)
-            send(roots.front(), message, effects);
+        if (!roots.empty())
+            found.push_back(roots.front());
+    }
+    return found;
+}
+
+void ControlPlane::spread(const std::vector<HostRecord> &records, const HostId &from)
+{
+    const HostRecord *sender = directory().find(from);
+    const bool isFromOwnZone = sender == nullptr || sender->zone == m_identity.zone;
+    for (const HostRecord &record : records)
+        m_spreading.insert_or_assign(record.host, SpreadingRecord{ record, from, isFromOwnZone });
+    m_tableDirty = m_tableDirty || !records.empty();
+}
+
+void ControlPlane::offerRecords(const HostId &to, bool isOwnZoneOnly, ControlEffects &effects) const
+{
+    std::vector<HostRecord> records;
+    for (const auto &entry : m_spreading) {
+        const SpreadingRecord &spreading = entry.second;
+        if (spreading.from != to && (spreading.isFromOwnZone || !isOwnZoneOnly))
+            records.push_back(spreading.record);
     }
+    for (PeerMessage &offer : recordOffers(records))
+        send(to, std::move(offer), effects);
 }
 
-void ControlPlane::spread(const std::vector<HostRecord> &records, const HostId &from,
-                          ControlEffects &effects)
+void ControlPlane::flushSpreading(ControlEffects &effects)
 {
-    if (records.empty())
+    if (m_spreading.empty())
         return;
-    m_tableDirty = true;
-    const std::vector<PeerMessage> offers = recordOffers(records);
     std::set<HostId> neighbours;
     for (const auto &entry : m_tree.followers())
         neighbours.insert(entry.first);
     neighbours.insert(m_tree.parent());
-    neighbours.erase(from);
-    for (const HostId &neighbour : neighbours) {
-        for (const PeerMessage &offer : offers)
-            send(neighbour, offer, effects);
+    for (const HostId &neighbour : neighbours)
+        offerRecords(neighbour, false, effects);
+    if (isRoot()) {
+        for (const HostId &root : rootsOfOtherZones())
+            offerRecords(root, true, effects);
     }
-    const HostRecord *sender = directory().find(from);
-    if (isRoot() && (sender == nullptr || sender->zone == m_identity.zone))
-        sendToOtherZones(offers, effects);
+    m_spreading.clear();
 }
 
-void ControlPlane::ownStateChanged(const HostRecord &record, ControlEffects &effects)
+void ControlPlane::ownStateChanged(const HostRecord &record)
 {
-    spread({ record }, m_identity.host, effects);
+    spread({ record }, m_identity.host);
 }
 
 LaggingHost ControlPlane::ownLag() const
@@ -141,7 +158,7 @@
 {
     ControlEffects effects;
     if (m_presence.backendServers().expire(now))
-        ownStateChanged(m_presence.restate(now), effects);
+        ownStateChanged(m_presence.restate(now));
     if (now >= m_nextExpiry) {
         m_nextExpiry = now + ExpiryPeriod;
         m_presence.expire(now);
@@ -155,6 +172,7 @@
     configurationChanged(m_configuration.expireRequests(now, effects), before, {}, now, effects);
     expireStatusRequests(now, effects);
     updateReadiness(now, effects);
+    flushSpreading(effects);
     compileIfDirty(effects);
     return effects;
 }
@@ -168,7 +186,7 @@
         const bool dead = belief.stamp.liveness == Liveness::Dead;
         effects.logs.push_back(
                 { dead ? "host_dead" : "host_suspect", { { "host", belief.host.value() } } });
-        spread(m_presence.merge({ belief }, now), m_identity.host, effects);
+        spread(m_presence.merge({ belief }, now), m_identity.host);
     }
 }
 
@@ -222,8 +240,12 @@
             directory().memberCount(m_identity.zone) <= 1 && directory().zones().size() <= 1;
     if (!alone)
         m_seedBackoff.succeeded();
-    m_nextSeeds =
-            now + (alone ? SeedBackoffBase + m_seedBackoff.failed(m_random) : SeedBackoffCeiling);
+    // Settled zones share the work of looking for nodes beyond a healed cut: together the nodes of
+    // one zone contact a seed about once per SettledSeedPeriod.
+    const auto sharers = static_cast<double>(directory().memberCount(m_identity.zone));
+    m_nextSeeds = now
+                  + (alone ? SeedBackoffBase + m_seedBackoff.failed(m_random)
+                           : SettledSeedPeriod * sharers * (0.5 + m_random.unit()));
     const auto contact = [&](const Address &seed) {
         if (seed == m_identity.address)
             return;
@@ -277,7 +299,8 @@
     if (change.publishedHere && change.step) {
         // The publisher tells every zone itself; its own zone hears it through the tree.
         const StepsOffer offer{ { *change.step } };
-        sendToOtherZones({ offer }, effects);
+        for (const HostId &root : rootsOfOtherZones())
+            send(root, offer, effects);
         for (const HostId &root :
              RelayTopology::rootsOf(directory(), m_identity.zone, m_tree.unreachable()))
             send(root, offer, effects);
@@ -403,7 +426,7 @@
                              { { "backend_server", announcement.id.value() },
                                { "service", announcement.service.value() },
                                { "draining", announcement.isDraining ? "true" : "false" } } });
-    ownStateChanged(m_presence.restate(now), effects);
+    ownStateChanged(m_presence.restate(now));
     compileIfDirty(effects);
     return effects;
 }
@@ -414,7 +437,7 @@
     if (!m_presence.backendServers().drain(id))
         return effects;
     effects.logs.push_back({ "backend_server_draining", { { "backend_server", id.value() } } });
-    ownStateChanged(m_presence.restate(now), effects);
+    ownStateChanged(m_presence.restate(now));
     compileIfDirty(effects);
     return effects;
 }
@@ -424,7 +447,7 @@
     ControlEffects effects;
     m_presence.backendServers().drainAll();
     effects.logs.push_back({ "node_draining", { { "host", m_identity.host.value() } } });
-    ownStateChanged(m_presence.changeState(HostState::Draining, now), effects);
+    ownStateChanged(m_presence.changeState(HostState::Draining, now));
     compileIfDirty(effects);
     return effects;
 }
@@ -433,7 +456,8 @@
 {
     ControlEffects effects;
     effects.logs.push_back({ "node_left", { { "host", m_identity.host.value() } } });
-    ownStateChanged(m_presence.changeState(HostState::Left, now), effects);
+    ownStateChanged(m_presence.changeState(HostState::Left, now));
+    flushSpreading(effects); // No tick may follow.
     return effects;
 }
 
--- a/packages/decisions/src/node/ControlPlaneReceiver.cpp
+++ b/packages/decisions/src/node/ControlPlaneReceiver.cpp
@@ -78,7 +78,7 @@
 
     void operator()(const RecordsOffer &offer) const
     {
-        plane.spread(plane.m_presence.merge(offer.records, now), from.host, effects);
+        plane.spread(plane.m_presence.merge(offer.records, now), from.host);
     }
 
     void operator()(const ZoneDigestsOffer &offer) const
