--- a/tests/golden/Session.cpp
+++ b/tests/golden/Session.cpp
@@ -116,6 +116,7 @@
 
 void Session::publish(const HostId &host, const Configuration &target)
 {
+    advance(SpreadTime); // What announced itself before is known everywhere.
     const ControlPlane &plane = *m_mesh.node(host).plane;
     std::string problem;
     const auto plan = valueOr([&] { return plane.planWhole(target); }, problem);
