Test nodes and processes under failure; end open exchanges before a server stops

Cause: a stop with a suspended connection ended the process (libmicrohttpd aborts); seen when the adapter test closed its backend server while an answer was stalled, and possible in godwitliftd when the shutdown bound passes with calls in progress. A repeated key at its own node cost a platform write. Change: the server aborts its open exchanges first; the ledger answers for keys it knows.

--- a/packages/adapters/src/MicrohttpdServer.cpp
+++ b/packages/adapters/src/MicrohttpdServer.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cstring>
+#include <set>
 
 namespace godwitlift {
 
@@ -104,6 +105,8 @@
     {
         const absl::MutexLock lock(&m_mutex);
         if (!m_started) {
+            if (m_failed)
+                return MHD_NO;
             m_suspended = true;
             MHD_suspend_connection(m_connection);
             return MHD_YES;
@@ -254,8 +257,11 @@
     MicrohttpdServer &operator=(const MicrohttpdServer &) = delete;
     ~MicrohttpdServer() override
     {
-        if (m_daemon != nullptr)
-            MHD_stop_daemon(m_daemon);
+        if (m_daemon == nullptr)
+            return;
+        // libmicrohttpd ends the process if a connection is suspended when it stops.
+        abortOpenExchanges();
+        MHD_stop_daemon(m_daemon);
     }
 
     bool start(const std::string &ip, std::uint16_t port)
@@ -306,6 +312,33 @@
         return server->proceed(exchange);
     }
 
+    void abortOpenExchanges()
+    {
+        std::vector<Holder> open;
+        {
+            const absl::MutexLock lock(&m_openMutex);
+            m_isStopping = true;
+            open.assign(m_open.begin(), m_open.end());
+        }
+        for (const Holder &exchange : open)
+            exchange->abort();
+    }
+
+    /// Registers an exchange for the time in which it may be suspended.
+    void enlist(const Holder &exchange)
+    {
+        const absl::MutexLock lock(&m_openMutex);
+        m_open.insert(exchange);
+        if (m_isStopping)
+            exchange->abort();
+    }
+
+    void delist(const Holder &exchange)
+    {
+        const absl::MutexLock lock(&m_openMutex);
+        m_open.erase(exchange);
+    }
+
     Holder *open(MHD_Connection *connection, const char *url, const char *method)
     {
         auto *holder = new Holder(std::make_shared<Exchange>(connection, m_inProgress));
@@ -341,15 +374,18 @@
                     "{\"verdict\":\"not-run\",\"reason\":\"too-large\"}\n");
             return exchange->queueOrSuspend(exchange);
         }
+        enlist(exchange);
         m_handler.handle(exchange);
         return exchange->queueOrSuspend(exchange);
     }
 
-    static void completed(void *, MHD_Connection *, void **state, MHD_RequestTerminationCode code)
+    static void completed(void *cls, MHD_Connection *, void **state,
+                          MHD_RequestTerminationCode code)
     {
         auto *holder = static_cast<Holder *>(*state);
         if (holder == nullptr)
             return;
+        static_cast<MicrohttpdServer *>(cls)->delist(*holder);
         (*holder)->connectionEnded(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
         delete holder;
         *state = nullptr;
@@ -359,6 +395,9 @@
     HttpHandler &m_handler;
     MHD_Daemon *m_daemon = nullptr;
     std::atomic<std::size_t> m_inProgress = 0;
+    absl::Mutex m_openMutex; ///< Taken before an exchange's lock.
+    std::set<Holder> m_open ABSL_GUARDED_BY(m_openMutex);
+    bool m_isStopping ABSL_GUARDED_BY(m_openMutex) = false;
 };
 
 } // namespace
--- a/packages/decisions/include/godwitlift/serving/OperationLedger.h
+++ b/packages/decisions/include/godwitlift/serving/OperationLedger.h
@@ -62,6 +62,8 @@
     /// Asks to run a call under a key whose claim names this process since \p claimed.
     KeyState beginClaimed(const IdempotencyKey &key, std::uint64_t fingerprint, absl::Time claimed,
                           absl::Time now);
+    /// Whether the key is held, so that nobody else needs to be asked for its owner.
+    bool knows(const IdempotencyKey &key) const { return m_entries.contains(key); }
     /// Ends the attempt that began last. \p answer counts only if \p verdict is Ran.
     void finish(const IdempotencyKey &key, Verdict verdict, StoredAnswer answer);
     /// The answer of a key in state Known; null if none is held.
--- a/packages/decisions/src/serving/Ingress.cpp
+++ b/packages/decisions/src/serving/Ingress.cpp
@@ -95,6 +95,11 @@
         return;
     }
     const auto issued = IssuedKey::parse(call.head.key);
+    if (!issued && m_ledger.knows(call.head.key)) {
+        onKeyState(call, m_ledger.beginClaimed(call.head.key, call.head.fingerprint, now, now), now,
+                   step);
+        return;
+    }
     if (!issued) {
         startClaim(call, now, step);
         return;
--- a/scripts/local_mesh.py
+++ b/scripts/local_mesh.py
@@ -10,6 +10,7 @@
 import pathlib
 import signal
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -44,6 +45,8 @@
         self.control = control or {}
         self.limits = limits or {}
         atexit.register(self.close)
+        # An interrupted run must end its processes too.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
 
     def path(self, name):
         return pathlib.Path(self.folder.name) / name
--- /dev/null
+++ b/tests/adapters/NodeTests.cpp
@@ -0,0 +1,341 @@
+/// \file
+/// A node with all its adapters in one process: the API, robustness against bad input, whole
+/// answers.
+#include "godwitlift/adapters/EventLog.h"
+#include "godwitlift/adapters/HttpRequester.h"
+#include "godwitlift/adapters/HttpServer.h"
+#include "godwitlift/adapters/NodeRuntime.h"
+#include "godwitlift/adapters/PeerTransport.h"
+#include "godwitlift/base/RandomSource.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/clock.h>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace godwitlift;
+using nlohmann::json;
+
+namespace {
+
+constexpr char Ip[] = "127.77.0.1";
+constexpr char Token[] = "operator-token-for-tests";
+
+const char SettingsText[] = R"({
+  "host": "h1", "zone": "z1", "region": "r1",
+  "listen": {"peers": "127.77.0.1:7400", "calls": "127.77.0.1:7401",
+             "operators": "127.77.0.1:7403", "local": "127.77.0.1:7404"},
+  "mesh_secret": "mesh-secret-for-tests",
+  "operators": {"dispatcher": "operator-token-for-tests"},
+  "limits": {"request_bytes": 100000, "shutdown_timeout_ms": 5000}
+})";
+
+const char IntentText[] = R"({
+  "ranks": {"k": {"urgency": 0}},
+  "services": {"s": {}},
+  "routes": {
+    "r": {"path_prefix": "/r", "service": "s", "rank": "k", "deadline_ms": 1500, "stall_timeout_ms": 300, "request_limit_bytes": 50000},
+    "once": {"path_prefix": "/once", "service": "s", "rank": "k", "repeat": "at-most-once", "deadline_ms": 1500, "stall_timeout_ms": 300}
+  }
+})";
+
+/// Backend server whose answers go wrong on demand.
+class Backend final : public HttpHandler
+{
+public:
+    std::atomic<int> ran = 0;
+
+    void handle(std::shared_ptr<HttpExchange> exchange) override
+    {
+        ++ran;
+        const std::string path = exchange->request().path;
+        const std::string attempt = exchange->request().header("Godwitlift-Request-Id");
+        if (path == "/r/truncated") {
+            exchange->start(200, {}, 100);
+            exchange->write("only this");
+            exchange->abort();
+        } else if (path == "/r/stalled") {
+            exchange->start(200, {}, 100);
+            exchange->write("and then nothing");
+            m_held = std::move(exchange);
+        } else if (path == "/r/crossed") {
+            exchange->respond(200, { { "Godwitlift-Request-Id", "999999" } }, "not yours");
+        } else if (path == "/r/large") {
+            exchange->respond(200, {}, std::string(3'000'000, 'x'));
+        } else {
+            exchange->respond(200, { { "Godwitlift-Request-Id", attempt } },
+                              absl::StrCat("ran ", ran.load()));
+        }
+    }
+
+private:
+    std::shared_ptr<HttpExchange> m_held;
+};
+
+IncomingResponse request(const std::string &method, int port, const std::string &path,
+                         const std::string &body = "", std::vector<std::string> headers = {})
+{
+    OutgoingRequest outgoing;
+    outgoing.method = method;
+    outgoing.url = absl::StrCat("http://", Ip, ":", port, path);
+    outgoing.headers = std::move(headers);
+    outgoing.body = body;
+    outgoing.timeout = absl::Seconds(10);
+    return sendRequest(outgoing);
+}
+
+IncomingResponse asOperator(const std::string &method, const std::string &path,
+                            const std::string &body = "")
+{
+    return request(method, 7403, path, body, { absl::StrCat("Authorization: Bearer ", Token) });
+}
+
+/// A running node with one backend server and one published version.
+struct RunningNode
+{
+    Backend backend;
+    std::unique_ptr<HttpServer> backendServer;
+    std::unique_ptr<NodeRuntime> node;
+
+    RunningNode()
+    {
+        std::string problem;
+        backendServer = std::move(*valueOr(
+                [&] { return HttpServer::listen(Address("127.77.0.1:7410"), {}, backend); },
+                problem));
+        node = std::move(*valueOr(
+                [&]() -> Result<std::unique_ptr<NodeRuntime>> {
+                    BOOST_LEAF_AUTO(settings, decodeNodeSettings(SettingsText));
+                    return NodeRuntime::start(settings);
+                },
+                problem));
+        waitFor([] { return request("GET", 7404, "/health").status == 200; });
+        announce();
+        publish();
+        waitFor([] { return request("GET", 7401, "/r/ready").status == 200; });
+    }
+
+    static void announce()
+    {
+        request("POST", 7404, "/local/announce",
+                R"({"id": "b", "service": "s", "address": "127.77.0.1:7410", "slots": 8})");
+    }
+
+    static void publish()
+    {
+        const json plan = json::parse(asOperator("POST", "/v1/plan", IntentText).body);
+        const json confirmation{ { "operation", "op-1" },
+                                 { "base", plan.at("base") },
+                                 { "changes_digest", plan.at("changes_digest") },
+                                 { "delta", plan.at("delta") } };
+        const IncomingResponse done = asOperator("POST", "/v1/confirm", confirmation.dump());
+        REQUIRE(done.status == 200);
+        const IncomingResponse again = asOperator("POST", "/v1/confirm", confirmation.dump());
+        CHECK(json::parse(again.body).at("version") == json::parse(done.body).at("version"));
+    }
+
+    static void waitFor(const std::function<bool()> &condition)
+    {
+        for (int i = 0; i < 500 && !condition(); ++i)
+            absl::SleepFor(absl::Milliseconds(20));
+    }
+};
+
+/// Sends raw bytes and closes after the answer or a short wait.
+void sendRaw(std::uint16_t port, const std::string &bytes)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, Ip, &address.sin_addr);
+    if (::connect(socket, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0)
+        ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    ::close(socket);
+}
+
+class IgnoredTraffic final : public TrafficObserver
+{
+public:
+    void sent(std::string_view, std::size_t) override {}
+    void received(std::string_view, std::size_t) override {}
+};
+
+/// Keeps the end of a forwarded call.
+class RecordingSink final : public AnswerSink
+{
+public:
+    void head(AnswerHead) override {}
+    void body(std::string_view) override {}
+    void end(const AnswerEnd &) override { set(Verdict::Ran, Reason::None); }
+    void refuse(const AnswerRefusal &refusal) override { set(refusal.verdict, refusal.reason); }
+    bool wantsMore(std::function<void()>) override { return true; }
+    bool isCancelled() const override { return false; }
+
+    std::optional<std::pair<Verdict, Reason>> ended()
+    {
+        const absl::MutexLock lock(&m_mutex);
+        return m_ended;
+    }
+
+private:
+    void set(Verdict verdict, Reason reason)
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_ended = { verdict, reason };
+    }
+    absl::Mutex m_mutex;
+    std::optional<std::pair<Verdict, Reason>> m_ended;
+};
+
+std::string settingsProblem(const std::string &text)
+{
+    std::string problem;
+    valueOr([&] { return decodeNodeSettings(text); }, problem);
+    return problem;
+}
+
+} // namespace
+
+TEST_CASE("Every fault of the settings is named by its path")
+{
+    CHECK(settingsProblem(SettingsText).empty());
+    CHECK(settingsProblem("{}")
+          == "host: missing; zone: missing; region: missing; listen: missing; mesh_secret: "
+             "missing");
+    json settings = json::parse(SettingsText);
+    settings["listen"]["calls"] = "localhost:80";
+    settings["mesh_secret"] = "short";
+    settings["limits"]["calls"] = 0;
+    settings["limits"]["shutdown_timeout"] = 5;
+    const std::string problem = settingsProblem(settings.dump());
+    CHECK(problem.find("listen.calls: expected an IP number and port") != std::string::npos);
+    CHECK(problem.find("mesh_secret: has 16 characters or more") != std::string::npos);
+    CHECK(problem.find("limits.calls: expected 1 to 1e+06, found 0") == std::string::npos);
+    CHECK(problem.find("limits.calls: expected 1 to 1000000, found 0") != std::string::npos);
+    CHECK(problem.find("limits.shutdown_timeout: unknown key") != std::string::npos);
+}
+
+TEST_CASE("Log lines quote what is not plain and keep to one line")
+{
+    CHECK(formatEvent({ "e", { { "a", "plain-1.2" }, { "b", "two words\n\"x\"" }, { "c", "" } } })
+          == "event=e a=plain-1.2 b=\"two words \\\"x\\\"\" c=\"\"");
+}
+
+TEST_CASE("A node serves, refuses with true verdicts, and survives bad input")
+{
+    RunningNode running;
+
+    SECTION("operators need their token")
+    {
+        CHECK(request("GET", 7403, "/v1/status").status == 401);
+        CHECK(request("GET", 7403, "/v1/status", "", { "Authorization: Bearer wrong" }).status
+              == 401);
+        CHECK(asOperator("GET", "/v1/status").status == 200);
+        CHECK(asOperator("POST", "/v1/plan", "{").status == 400);
+        CHECK(asOperator("POST", "/v1/confirm", "{}").status == 400);
+        CHECK(asOperator("GET", "/v1/versions/77").status == 404);
+        CHECK(asOperator("GET", "/v1/history").status == 200);
+    }
+
+    SECTION("answers are whole or an error")
+    {
+        CHECK(request("GET", 7401, "/r/large").body.size() == 3'000'000);
+        CHECK(request("GET", 7401, "/r/truncated").status == 502);
+        CHECK(request("GET", 7401, "/r/stalled").status == 502);
+        const IncomingResponse crossed = request("GET", 7401, "/r/crossed");
+        CHECK(crossed.status == 502);
+        CHECK(crossed.body.find("not yours") == std::string::npos);
+    }
+
+    SECTION("a key runs once")
+    {
+        const std::vector<std::string> key = { "Idempotency-Key: k1" };
+        const IncomingResponse first = request("POST", 7401, "/once", "x", key);
+        const IncomingResponse again = request("POST", 7401, "/once", "x", key);
+        CHECK(first.status == 200);
+        CHECK(again.body == first.body);
+        CHECK(request("POST", 7401, "/once", "y", key).status == 422);
+        CHECK(request("POST", 7401, "/once", "x").status == 400);
+        const std::string issued = request("POST", 7401, "/.godwitlift/keys").body;
+        REQUIRE(issued.size() > 10);
+        const std::string header =
+                absl::StrCat("Idempotency-Key: ", issued.substr(0, issued.size() - 1));
+        CHECK(request("POST", 7401, "/once", "x", { header }).status == 200);
+    }
+
+    SECTION("limits hold")
+    {
+        const int before = running.backend.ran;
+        CHECK(request("POST", 7401, "/r/x", std::string(60'000, 'x')).status == 413);
+        CHECK(request("POST", 7401, "/r/x", std::string(200'000, 'x')).status == 413);
+        CHECK(request("GET", 7401, "/none").status == 404);
+        CHECK(running.backend.ran == before);
+    }
+
+    SECTION("malformed input on every endpoint changes nothing")
+    {
+        SeededRandom random(5);
+        for (int i = 0; i < 200; ++i) {
+            std::string bytes =
+                    i % 2 == 0 ? "POST /v1/plan HTTP/1.1\r\nContent-Length: 99999\r\n" : "";
+            for (std::uint64_t k = 0; k < random.below(300); ++k)
+                bytes += static_cast<char>(random.below(256));
+            for (const std::uint16_t port : { 7400, 7401, 7403, 7404 })
+                sendRaw(port, bytes);
+        }
+        sendRaw(7401, "GET /r HTTP/1.1\r\nX: " + std::string(100'000, 'a') + "\r\n\r\n");
+        CHECK(request("GET", 7404, "/health").status == 200);
+        RunningNode::announce();
+        CHECK(request("GET", 7401, "/r/after").status == 200);
+        CHECK(request("POST", 7404, "/local/announce", "[]").status == 400);
+        CHECK(request("POST", 7404, "/local/announce", R"({"id": "b"})").status == 400);
+        CHECK(request("POST", 7404, "/local/drain?id=%00").status == 400);
+    }
+
+    SECTION("a peer without the mesh's secret is refused, and its call did not run")
+    {
+        const int before = running.backend.ran;
+        IgnoredTraffic traffic;
+        const auto stranger = PeerClient::create({ HostId("x"), Address("127.77.0.9:1") },
+                                                 "another-mesh-secret", traffic);
+        ForwardedCall call;
+        call.attempt = AttemptId(1);
+        call.backendServer = BackendServerId("b");
+        call.method = "GET";
+        call.target = "/r/x";
+        call.timeout = absl::Seconds(1);
+        call.stallTimeout = absl::Seconds(1);
+        auto sink = std::make_shared<RecordingSink>();
+        stranger->forward(Address("127.77.0.1:7400"), call, sink);
+        RunningNode::waitFor([&] { return sink->ended().has_value(); });
+        REQUIRE(sink->ended());
+        CHECK(*sink->ended() == std::make_pair(Verdict::NotRun, Reason::PeerRefused));
+        auto nowhere = std::make_shared<RecordingSink>();
+        stranger->forward(Address("127.77.0.9:7400"), call, nowhere);
+        RunningNode::waitFor([&] { return nowhere->ended().has_value(); });
+        REQUIRE(nowhere->ended());
+        CHECK(*nowhere->ended() == std::make_pair(Verdict::NotRun, Reason::ConnectFailed));
+        CHECK(running.backend.ran == before);
+    }
+
+    SECTION("metrics have a counter for every reason")
+    {
+        const std::string text = request("GET", 7404, "/metrics").body;
+        for (std::size_t i = 0; i < ReasonCount; ++i) {
+            const std::string label =
+                    absl::StrCat("godwitlift_refusals_total{reason=\"",
+                                 std::string(name(static_cast<Reason>(i))), "\"}");
+            CHECK(text.find(label) != std::string::npos);
+        }
+    }
+
+    CHECK(running.node->shutdownGracefully());
+}
