--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Sets up all, builds, and shows the main job with real processes on loopback addresses.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install-packages.sh
+cmake -S . -B build -G Ninja > /dev/null
+cmake --build build
+exec python3 scripts/demo.py
