--- a/packages/decisions/include/godwitlift/serving/RankQueue.h
+++ b/packages/decisions/include/godwitlift/serving/RankQueue.h
@@ -36,6 +36,8 @@
     struct Push
     {
         bool queued = false;
+        bool isOverShare =
+                false; ///< Not queued because others wait too and the caller has its share.
         std::optional<WaitingCall> displaced;
     };
 
--- a/packages/decisions/include/godwitlift/serving/RetryBudget.h
+++ b/packages/decisions/include/godwitlift/serving/RetryBudget.h
@@ -23,7 +23,7 @@
     }
 
 private:
-    double m_tokens = Savings / 2;
+    double m_tokens = 1;
 };
 
 } // namespace godwitlift
--- a/packages/decisions/src/serving/Gate.cpp
+++ b/packages/decisions/src/serving/Gate.cpp
@@ -203,7 +203,9 @@
     auto pushed = m_lanes[lane].queue.push({ call.attempt, caller, now, call.deadline },
                                            m_lanes[lane].policy.queueLimit);
     if (!pushed.queued)
-        step.refusals.push_back({ call.attempt, Reason::QueueFull, wait });
+        step.refusals.push_back({ call.attempt,
+                                  pushed.isOverShare ? Reason::QueueShare : Reason::QueueFull,
+                                  wait });
     if (pushed.displaced)
         step.refusals.push_back({ pushed.displaced->attempt, Reason::Displaced, wait });
     startWaiting(now, step);
--- a/packages/decisions/src/serving/Ingress.cpp
+++ b/packages/decisions/src/serving/Ingress.cpp
@@ -16,6 +16,7 @@
 {
     switch (reason) {
     case Reason::QueueFull:
+    case Reason::QueueShare:
     case Reason::Displaced:
     case Reason::DeadlineUnmeetable:
     case Reason::DeadlineExpired:
--- a/packages/decisions/src/serving/RankQueue.cpp
+++ b/packages/decisions/src/serving/RankQueue.cpp
@@ -17,8 +17,10 @@
                 [](const auto &a, const auto &b) { return a.second.size() < b.second.size(); });
         const auto own = m_byCaller.find(call.caller);
         const std::size_t ownSize = own == m_byCaller.end() ? 0 : own->second.size();
-        if (longest->second.size() <= ownSize + 1)
+        if (longest->second.size() <= ownSize + 1) {
+            result.isOverShare = m_byCaller.size() > 1;
             return result;
+        }
         result.displaced = longest->second.back();
         longest->second.pop_back();
         --m_size;
--- a/scripts/local_mesh.py
+++ b/scripts/local_mesh.py
@@ -61,9 +61,13 @@
         return process
 
     def start_platform(self):
-        return self.spawn(
+        process = self.spawn(
             [self.build / "tests/platform-standin", self.platform_address], "platform.log"
         )
+        time.sleep(0.3)
+        if process.poll() is not None:
+            raise RuntimeError(f"the platform's stand-in ended: {self.log('platform')}")
+        return process
 
     def faults(self, **faults):
         query = "&".join(f"{key}={value}" for key, value in faults.items())
