--- a/packages/adapters/src/MicrohttpdServer.cpp
+++ b/packages/adapters/src/MicrohttpdServer.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// libmicrohttpd behind the HttpServer interface.
+#include "MicrohttpdExchange.h"
 #include "godwitlift/adapters/HttpServer.h"
 
 #include <absl/base/thread_annotations.h>
@@ -22,202 +23,9 @@
 
 namespace {
 
-/// Answer bytes that may wait for a slow client before the sender is asked to pause.
-constexpr std::size_t BufferLimitBytes = 256U << 10U;
-constexpr std::size_t BlockBytes = 64U << 10U;
 constexpr std::size_t HeaderLimitBytes = 32U << 10U;
 constexpr int PayloadTooLarge = 413;
 
-using Resume = std::function<void()>;
-
-/// One request on a connection. Its lock is a leaf, except that libmicrohttpd's suspend and resume
-/// are called while it is held; callbacks are called without it.
-class Exchange final : public HttpExchange
-{
-public:
-    Exchange(MHD_Connection *connection, std::atomic<std::size_t> &inProgress)
-        : m_connection(connection)
-        , m_inProgress(inProgress)
-    {}
-
-    HttpRequest &editableRequest() { return m_request; }
-    const HttpRequest &request() const override { return m_request; }
-
-    void respond(int status, std::vector<HttpHeader> headers, std::string body) override
-    {
-        const absl::MutexLock lock(&m_mutex);
-        if (m_started)
-            return;
-        m_length = body.size();
-        m_buffer = std::move(body);
-        m_ended = true;
-        begin(status, std::move(headers));
-    }
-
-    void start(int status, std::vector<HttpHeader> headers,
-               std::optional<std::uint64_t> length) override
-    {
-        const absl::MutexLock lock(&m_mutex);
-        if (m_started)
-            return;
-        m_length = length;
-        begin(status, std::move(headers));
-    }
-
-    void write(std::string_view part) override
-    {
-        const absl::MutexLock lock(&m_mutex);
-        m_buffer.append(part);
-        wake();
-    }
-
-    void finish() override
-    {
-        const absl::MutexLock lock(&m_mutex);
-        m_ended = true;
-        wake();
-    }
-
-    void abort() override
-    {
-        const absl::MutexLock lock(&m_mutex);
-        m_failed = true;
-        wake();
-    }
-
-    bool wantsMore(Resume resume) override
-    {
-        const absl::MutexLock lock(&m_mutex);
-        if (m_closed || m_buffer.size() - m_offset < BufferLimitBytes)
-            return true;
-        m_resume = std::move(resume);
-        return false;
-    }
-
-    void onClosed(std::function<void()> closed) override
-    {
-        const absl::MutexLock lock(&m_mutex);
-        m_onClosed = std::move(closed);
-    }
-
-    /// Called on the server's thread until the head is there.
-    MHD_Result queueOrSuspend(const std::shared_ptr<Exchange> &self)
-    {
-        const absl::MutexLock lock(&m_mutex);
-        if (!m_started) {
-            if (m_failed)
-                return MHD_NO;
-            m_suspended = true;
-            MHD_suspend_connection(m_connection);
-            return MHD_YES;
-        }
-        auto *reference = new std::shared_ptr<Exchange>(self);
-        MHD_Response *response = MHD_create_response_from_callback(
-                m_length ? *m_length : MHD_SIZE_UNKNOWN, BlockBytes, &Exchange::readBlock,
-                reference, &Exchange::dropReference);
-        for (const HttpHeader &header : m_headers)
-            MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
-        const MHD_Result result =
-                MHD_queue_response(m_connection, static_cast<unsigned>(m_status), response);
-        MHD_destroy_response(response);
-        return result;
-    }
-
-    void connectionEnded(bool completed)
-    {
-        std::function<void()> closed;
-        Resume resume;
-        {
-            const absl::MutexLock lock(&m_mutex);
-            m_closed = true;
-            m_connection = nullptr;
-            if (!completed)
-                std::swap(closed, m_onClosed);
-            std::swap(resume, m_resume);
-            m_onClosed = nullptr;
-        }
-        --m_inProgress;
-        if (closed)
-            closed();
-        if (resume)
-            resume();
-    }
-
-    bool isDispatched = false; ///< Used by the server's thread only.
-    bool isTooLarge = false;   ///< Used by the server's thread only.
-
-private:
-    void begin(int status, std::vector<HttpHeader> headers) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
-    {
-        m_status = status;
-        m_headers = std::move(headers);
-        m_started = true;
-        wake();
-    }
-
-    void wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
-    {
-        if (!m_suspended || m_connection == nullptr)
-            return;
-        m_suspended = false;
-        MHD_resume_connection(m_connection);
-    }
-
-    static ssize_t readBlock(void *cls, std::uint64_t, char *buffer, std::size_t capacity)
-    {
-        return (*static_cast<std::shared_ptr<Exchange> *>(cls))->read(buffer, capacity);
-    }
-
-    static void dropReference(void *cls) { delete static_cast<std::shared_ptr<Exchange> *>(cls); }
-
-    ssize_t read(char *buffer, std::size_t capacity)
-    {
-        Resume resume;
-        std::size_t count = 0;
-        {
-            const absl::MutexLock lock(&m_mutex);
-            if (m_failed)
-                return MHD_CONTENT_READER_END_WITH_ERROR;
-            count = std::min(capacity, m_buffer.size() - m_offset);
-            if (count == 0) {
-                if (m_ended)
-                    return MHD_CONTENT_READER_END_OF_STREAM;
-                m_suspended = true;
-                MHD_suspend_connection(m_connection);
-                return 0;
-            }
-            std::memcpy(buffer, m_buffer.data() + m_offset, count);
-            m_offset += count;
-            if (m_offset == m_buffer.size()) {
-                m_buffer.clear();
-                m_offset = 0;
-            }
-            if (m_buffer.size() - m_offset < BufferLimitBytes)
-                std::swap(resume, m_resume);
-        }
-        if (resume)
-            resume();
-        return static_cast<ssize_t>(count);
-    }
-
-    absl::Mutex m_mutex;
-    MHD_Connection *m_connection; ///< Null once the connection has ended.
-    std::atomic<std::size_t> &m_inProgress;
-    HttpRequest m_request;
-    std::vector<HttpHeader> m_headers ABSL_GUARDED_BY(m_mutex);
-    std::optional<std::uint64_t> m_length ABSL_GUARDED_BY(m_mutex);
-    std::string m_buffer ABSL_GUARDED_BY(m_mutex);
-    std::size_t m_offset ABSL_GUARDED_BY(m_mutex) = 0; ///< Bytes of m_buffer already taken.
-    int m_status ABSL_GUARDED_BY(m_mutex) = 0;
-    bool m_started ABSL_GUARDED_BY(m_mutex) = false;
-    bool m_ended ABSL_GUARDED_BY(m_mutex) = false;
-    bool m_failed ABSL_GUARDED_BY(m_mutex) = false;
-    bool m_suspended ABSL_GUARDED_BY(m_mutex) = false;
-    bool m_closed ABSL_GUARDED_BY(m_mutex) = false;
-    Resume m_resume ABSL_GUARDED_BY(m_mutex);
-    std::function<void()> m_onClosed ABSL_GUARDED_BY(m_mutex);
-};
-
 MHD_Result addHeader(void *cls, MHD_ValueKind, const char *name, const char *value)
 {
     auto *headers = static_cast<std::vector<HttpHeader> *>(cls);
@@ -292,7 +100,7 @@
     std::size_t inProgress() const override { return m_inProgress; }
 
 private:
-    using Holder = std::shared_ptr<Exchange>;
+    using Holder = std::shared_ptr<MicrohttpdExchange>;
 
     static MHD_Result access(void *cls, MHD_Connection *connection, const char *url,
                              const char *method, const char *, const char *data, std::size_t *size,
@@ -341,7 +149,7 @@
 
     Holder *open(MHD_Connection *connection, const char *url, const char *method)
     {
-        auto *holder = new Holder(std::make_shared<Exchange>(connection, m_inProgress));
+        auto *holder = new Holder(std::make_shared<MicrohttpdExchange>(connection, m_inProgress));
         ++m_inProgress;
         HttpRequest &request = (*holder)->editableRequest();
         request.method = method;
@@ -353,7 +161,7 @@
         return holder;
     }
 
-    void takeBody(Exchange &exchange, std::string_view part) const
+    void takeBody(MicrohttpdExchange &exchange, std::string_view part) const
     {
         std::string &body = exchange.editableRequest().body;
         if (body.size() + part.size() > m_limits.requestBytes)
--- a/packages/adapters/src/PeerCodec.h
+++ b/packages/adapters/src/PeerCodec.h
@@ -10,6 +10,9 @@
 
 namespace godwitlift {
 
+/// Whole milliseconds within the wire type's range.
+std::uint32_t wireMilliseconds(absl::Duration duration);
+
 wire::Envelope toWire(const PeerMessage &message);
 /// Empty for a message that is not understood or exceeds its bounds.
 std::optional<PeerMessage> fromWire(const wire::Envelope &envelope);
--- a/packages/adapters/src/PlanText.cpp
+++ b/packages/adapters/src/PlanText.cpp
@@ -13,19 +13,6 @@
 
 using nlohmann::json;
 
-const char *kindText(PlannedChange::Kind kind)
-{
-    switch (kind) {
-    case PlannedChange::Kind::Add:
-        return "add";
-    case PlannedChange::Kind::Replace:
-        return "replace";
-    case PlannedChange::Kind::Remove:
-        break;
-    }
-    return "remove";
-}
-
 /// The single object inside the canonical text of a one-object configuration.
 json singleObject(const std::string &text)
 {
@@ -97,7 +84,7 @@
     json changes = json::array();
     for (const PlannedChange &change : plan.changes())
         changes.push_back(json{ { "object", change.item.text() },
-                                { "kind", kindText(change.kind) },
+                                { "kind", std::string(name(change.kind)) },
                                 { "before", singleObject(change.before) },
                                 { "after", singleObject(change.after) } });
     return json{ { "base", plan.base().value() },
--- a/packages/adapters/src/ServingRuntime.cpp
+++ b/packages/adapters/src/ServingRuntime.cpp
@@ -2,6 +2,8 @@
 /// Callers' side of serving: calls, attempts and answers.
 #include "ServingRuntime.h"
 
+#include "ServingSinks.h"
+
 #include "godwitlift/base/Hashing.h"
 
 #include <absl/strings/numbers.h>
@@ -39,135 +41,6 @@
 
 } // namespace
 
-/// Takes the answer of one attempt and reports its end to the ingress.
-class ServingRuntime::AttemptSink final : public AnswerSink
-{
-public:
-    AttemptSink(ServingRuntime &runtime, AttemptId attempt, std::shared_ptr<CallAnswer> answer,
-                std::shared_ptr<std::atomic<bool>> cancelled)
-        : m_runtime(runtime)
-        , m_attempt(attempt)
-        , m_answer(std::move(answer))
-        , m_cancelled(std::move(cancelled))
-    {}
-
-    void head(AnswerHead head) override
-    {
-        note(m_answer->head(m_attempt, std::move(head), absl::Now()));
-        const absl::MutexLock lock(&m_runtime.m_mutex);
-        m_runtime.m_ingress.answerStarted(m_attempt);
-    }
-    void body(std::string_view part) override
-    {
-        note(m_answer->body(m_attempt, part, absl::Now()));
-    }
-    void end(const AnswerEnd &end) override
-    {
-        note(m_answer->end(m_attempt, end.received, absl::Now()));
-        AttemptReport report = newReport(end.load);
-        report.verdict = m_problem == Reason::None ? Verdict::Ran : Verdict::MayHaveRun;
-        report.reason = m_problem;
-        if (m_problem == Reason::None)
-            report.answer = m_answer->stored();
-        m_runtime.attemptEnded(report);
-    }
-    void refuse(const AnswerRefusal &refusal) override
-    {
-        AttemptReport report = newReport(refusal.load);
-        report.verdict = refusal.verdict;
-        report.reason = refusal.reason;
-        report.retryAfter = refusal.retryAfter;
-        m_runtime.attemptEnded(report);
-    }
-    bool wantsMore(std::function<void()> resume) override
-    {
-        return m_answer->wantsMore(m_attempt, std::move(resume));
-    }
-    bool isCancelled() const override { return *m_cancelled; }
-
-private:
-    void note(Reason reason)
-    {
-        if (m_problem == Reason::None)
-            m_problem = reason;
-    }
-    AttemptReport newReport(const GateLoad &load) const
-    {
-        AttemptReport report;
-        report.attempt = m_attempt;
-        report.load = load;
-        report.answerStarted = m_answer->isCurrent(m_attempt) && m_answer->isStarted();
-        return report;
-    }
-
-    ServingRuntime &m_runtime;
-    AttemptId m_attempt;
-    std::shared_ptr<CallAnswer> m_answer;
-    std::shared_ptr<std::atomic<bool>> m_cancelled;
-    Reason m_problem = Reason::None; ///< First fault found in the answer.
-};
-
-/// Takes the answer of a call that the owner of its key works on.
-class ServingRuntime::RelaySink final : public AnswerSink
-{
-public:
-    RelaySink(ServingRuntime &runtime, CallId call, AttemptId attempt,
-              std::shared_ptr<CallAnswer> answer)
-        : m_runtime(runtime)
-        , m_call(call)
-        , m_attempt(attempt)
-        , m_answer(std::move(answer))
-    {}
-
-    void head(AnswerHead head) override
-    {
-        note(m_answer->head(m_attempt, std::move(head), absl::Now()));
-    }
-    void body(std::string_view part) override
-    {
-        note(m_answer->body(m_attempt, part, absl::Now()));
-    }
-    void end(const AnswerEnd &end) override
-    {
-        note(m_answer->end(m_attempt, end.received, absl::Now()));
-        finish(m_problem == Reason::None ? Verdict::Ran : Verdict::MayHaveRun, m_problem);
-    }
-    void refuse(const AnswerRefusal &refusal) override
-    {
-        const bool unreachable = refusal.reason == Reason::ConnectFailed;
-        // The owner may have run an earlier call under the key, so "not run" cannot be proved.
-        finish(unreachable ? Verdict::MayHaveRun : refusal.verdict,
-               unreachable ? Reason::KeyOwnerUnreachable : refusal.reason);
-    }
-    bool wantsMore(std::function<void()> resume) override
-    {
-        return m_answer->wantsMore(m_attempt, std::move(resume));
-    }
-    bool isCancelled() const override { return false; }
-
-private:
-    void note(Reason reason)
-    {
-        if (m_problem == Reason::None)
-            m_problem = reason;
-    }
-    void finish(Verdict verdict, Reason reason)
-    {
-        IngressStep step;
-        {
-            const absl::MutexLock lock(&m_runtime.m_mutex);
-            step = m_runtime.m_ingress.relayEnded(m_call, verdict, reason, absl::Now());
-        }
-        m_runtime.carryOut(std::move(step));
-    }
-
-    ServingRuntime &m_runtime;
-    CallId m_call;
-    AttemptId m_attempt;
-    std::shared_ptr<CallAnswer> m_answer;
-    Reason m_problem = Reason::None;
-};
-
 ServingRuntime::ServingRuntime(const NodeIdentity &identity, IngressPolicy policy,
                                RandomSource &random, const OwnerLookup &owners, PeerClient &peers,
                                PlatformWorkers &platform, BackendClient &backends, Metrics &metrics)
--- a/packages/decisions/include/godwitlift/configuration/Plan.h
+++ b/packages/decisions/include/godwitlift/configuration/Plan.h
@@ -6,6 +6,7 @@
 #include "godwitlift/configuration/VersionedConfiguration.h"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace godwitlift {
@@ -23,6 +24,9 @@
     friend bool operator==(const PlannedChange &, const PlannedChange &) = default;
 };
 
+/// Stable lower-case name.
+std::string_view name(PlannedChange::Kind kind);
+
 /// A plan is a pure function of its base and its delta, so that any node can make it again and
 /// compare its digest; no node has to remember it.
 class Plan final
--- a/packages/decisions/src/configuration/Plan.cpp
+++ b/packages/decisions/src/configuration/Plan.cpp
@@ -48,6 +48,19 @@
 
 } // namespace
 
+std::string_view name(PlannedChange::Kind kind)
+{
+    switch (kind) {
+    case PlannedChange::Kind::Add:
+        return "add";
+    case PlannedChange::Kind::Replace:
+        return "replace";
+    case PlannedChange::Kind::Remove:
+        break;
+    }
+    return "remove";
+}
+
 Result<Plan> Plan::make(const VersionedConfiguration &base, const ConfigurationDelta &delta)
 {
     for (const ItemName &name : delta.removals) {
--- a/tests/golden/Session.cpp
+++ b/tests/golden/Session.cpp
@@ -18,19 +18,6 @@
 constexpr absl::Duration Heartbeat = absl::Seconds(1);
 constexpr absl::Duration Step = absl::Milliseconds(10);
 
-const char *kindText(PlannedChange::Kind kind)
-{
-    switch (kind) {
-    case PlannedChange::Kind::Add:
-        return "add";
-    case PlannedChange::Kind::Replace:
-        return "replace";
-    case PlannedChange::Kind::Remove:
-        break;
-    }
-    return "remove";
-}
-
 } // namespace
 
 /// Serving decisions of one host.
@@ -127,7 +114,7 @@
     line(absl::StrFormat("plan base=%d digest=%s changes=%d", plan->base().value(),
                          plan->digest().value(), plan->changes().size()));
     for (const PlannedChange &change : plan->changes())
-        line(absl::StrFormat("  %s %s", kindText(change.kind), change.item.text()));
+        line(absl::StrFormat("  %s %s", std::string(name(change.kind)), change.item.text()));
     if (plan->isEmpty())
         return;
     Confirmation confirmation;
