--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -139,7 +139,8 @@
     herd_zone = math.ceil(INSTANCES / ZONES)
     reads = polls + changes * (2 * polls + 3)
     writes = changes * 3
-    herd = [r for r in m["mesh"] if r.get("case") == "herd"][-1]
+    herds = [r for r in m["mesh"] if r.get("case") == "herd" and r["fan_out"] == "tree"]
+    herd = max(herds, key=lambda r: int(r["returned"]))
     return [
         "| situation | reads/s | of 2,000 | writes/s | of 300 | worked out from |",
         "|---|---|---|---|---|---|",
@@ -148,7 +149,7 @@
         f"| a zone of {herd_zone} returns at once | {reads + int(herd['platform_reads_peak_per_s']):.0f} | "
         f"{100 * (reads + int(herd['platform_reads_peak_per_s'])) / READS_LIMIT:.1f} % | {writes:.2f} | "
         f"{100 * writes / WRITES_LIMIT:.2f} % | peak of {herd['platform_reads_peak_per_s']} reads a second with "
-        f"{herd['returned']} hosts in bench/mesh-bench; nodes ask peers first |",
+        f"{herd['returned']} hosts in bench/mesh-bench, the polls of its three zones included; nodes ask peers first |",
         f"| the same with every peer of the zone gone and no seed alive | {3 * herd_zone / 2:.0f} | "
         f"{100 * 3 * herd_zone / 2 / READS_LIMIT:.0f} % | 0 | 0 % | 3 reads a node spread over 2 s by jitter; not measured |",
         f"| after an hour apart | {reads + 2 * polls:.0f} | {100 * (reads + 2 * polls) / READS_LIMIT:.1f} % | {writes:.2f} | "
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,8 +8,8 @@
 build=build
 options=()
 case "${1:-}" in
-  --sanitize) build=build-sanitize; options=(-DGODWITLIFT_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug) ;;
-  --thread) build=build-thread; options=(-DGODWITLIFT_SANITIZE=thread -DCMAKE_BUILD_TYPE=Debug) ;;
+  --sanitize) build=build-sanitize; options=(-DGODWITLIFT_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=None "-DCMAKE_CXX_FLAGS=-O1 -g") ;;
+  --thread) build=build-thread; options=(-DGODWITLIFT_SANITIZE=thread -DCMAKE_BUILD_TYPE=None "-DCMAKE_CXX_FLAGS=-O1 -g") ;;
   "") ;;
   *) echo "usage: test.sh [--sanitize | --thread]" >&2; exit 2 ;;
 esac
