--- a/packages/adapters/src/HttpRequester.cpp
+++ b/packages/adapters/src/HttpRequester.cpp
@@ -34,7 +34,7 @@
 
 CURL *threadHandle()
 {
-    thread_local const std::unique_ptr<CURL, EasyDeleter> handle(curl_easy_init());
+    thread_local std::unique_ptr<CURL, EasyDeleter> handle(curl_easy_init());
     curl_easy_reset(handle.get());
     return handle.get();
 }
--- a/packages/adapters/src/ServingRuntime.cpp
+++ b/packages/adapters/src/ServingRuntime.cpp
@@ -363,7 +363,7 @@
         const absl::MutexLock lock(&m_mutex);
         step = m_gates.drainAll(absl::Now());
     }
-    carryOut(std::move(step));
+    carryOut(step);
 }
 
 std::size_t ServingRuntime::inProgress() const
--- a/packages/decisions/src/serving/Gate.cpp
+++ b/packages/decisions/src/serving/Gate.cpp
@@ -13,7 +13,7 @@
 /// Weight of the newest service time in the moving mean.
 constexpr double MeanWeight = 0.1;
 /// Share of the slots that lesser ranks leave free at most for more urgent ranks in use.
-constexpr double HeadroomShare = 0.05;
+constexpr double HeadroomShare = 0.1;
 /// Length of the window over which the demand of a rank counts as current.
 constexpr absl::Duration PeakWindow = absl::Seconds(1);
 
@@ -95,6 +95,9 @@
     std::uint32_t wanted = 0;
     for (std::size_t i = 0; i < lane; ++i) {
         const Lane &urgent = m_lanes[i];
+        // Short work of the lesser rank frees slots faster than the urgent rank needs them.
+        if (urgent.meanSeconds >= m_lanes[lane].meanSeconds)
+            continue;
         const std::uint32_t peak = std::max(urgent.peak, urgent.lastPeak);
         wanted += peak > urgent.inUse ? peak - urgent.inUse : 0;
     }
--- a/tests/unit/GateTests.cpp
+++ b/tests/unit/GateTests.cpp
@@ -61,6 +61,29 @@
     CHECK(started == 5);
 }
 
+TEST_CASE("Long lesser work leaves room for shorter urgent work, short lesser work does not")
+{
+    std::map<RankId, Rank> open = ranks();
+    open.at(RankId("media")).ceilingShare = 1;
+    open.at(RankId("media")).floorShare = 0;
+    open.at(RankId("media")).queueLimit = 100;
+    const bool isLong = GENERATE(true, false);
+    Gate gate(SlotLimit(10, Start - absl::Hours(1), absl::ZeroDuration()), open);
+    // Both ranks show how long their work takes; the urgent one also shows a demand of five slots.
+    for (std::uint64_t i = 1; i <= 5; ++i)
+        gate.arrive(callOf(i, "urgent"), Start);
+    gate.arrive(callOf(6, "media"), Start);
+    absl::Time now = Start + absl::Milliseconds(50);
+    for (std::uint64_t i = 1; i <= 5; ++i)
+        gate.finished(AttemptId(i), RunEnd::Answered, now);
+    now += isLong ? absl::Milliseconds(100) : absl::ZeroDuration();
+    gate.finished(AttemptId(6), RunEnd::Answered, isLong ? now : Start + absl::Milliseconds(10));
+    std::size_t started = 0;
+    for (std::uint64_t i = 10; i < 30; ++i)
+        started += gate.arrive(callOf(i, "media"), now).starts.size();
+    CHECK(started == (isLong ? 9 : 10));
+}
+
 TEST_CASE("A rank below its floor goes before more urgent work")
 {
     Gate gate = gateOf(10);
