--- a/tests/adapters/NodeTests.cpp
+++ b/tests/adapters/NodeTests.cpp
@@ -18,6 +18,7 @@
 #include <atomic>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace godwitlift;
@@ -103,6 +104,8 @@
     Backend backend;
     std::unique_ptr<HttpServer> backendServer;
     std::unique_ptr<NodeRuntime> node;
+    std::atomic<bool> stopping = false;
+    std::thread heartbeats; ///< Announces the backend server however slowly the test runs.
 
     RunningNode()
     {
@@ -117,11 +120,24 @@
                 },
                 problem));
         waitFor([] { return request("GET", 7404, "/health").status == 200; });
-        announce();
+        heartbeats = std::thread([this] {
+            while (!stopping) {
+                announce();
+                absl::SleepFor(absl::Milliseconds(500));
+            }
+        });
         publish();
         waitFor([] { return request("GET", 7401, "/r/ready").status == 200; });
     }
 
+    RunningNode(const RunningNode &) = delete;
+    RunningNode &operator=(const RunningNode &) = delete;
+    ~RunningNode()
+    {
+        stopping = true;
+        heartbeats.join();
+    }
+
     static void announce()
     {
         request("POST", 7404, "/local/announce",
