Serve requests on the users' platform: thin whole path on one event loop

Cause: the users run godwitlift beside each backend server on their own platform, with no control hosts and no disks.

--- a/packages/decisions/include/godwitlift/base/Verdict.h
+++ b/packages/decisions/include/godwitlift/base/Verdict.h
@@ -45,10 +45,12 @@
     AnswerNotKept,       ///< The key's call ran, but its answer was too large to keep.
     RetryBudgetSpent,    ///< The retry budget of the rank or of the chain is spent.
     TooLarge,            ///< The request exceeds a size limit.
-    Overloaded           ///< The ingress holds more requests than its limit.
+    Overloaded,          ///< The ingress holds more requests than its limit.
+    ServerError,         ///< The backend server answered with a failure of its own.
+    NoRequestId          ///< The request carries no id of its own.
 };
 
-inline constexpr std::size_t ReasonCount = static_cast<std::size_t>(Reason::Overloaded) + 1;
+inline constexpr std::size_t ReasonCount = static_cast<std::size_t>(Reason::NoRequestId) + 1;
 
 /// Stable lower-case name used in headers, logs and metrics.
 std::string_view name(Verdict verdict);
--- a/packages/decisions/src/base/Verdict.cpp
+++ b/packages/decisions/src/base/Verdict.cpp
@@ -37,6 +37,8 @@
     "retry-budget-spent",
     "too-large",
     "overloaded",
+    "server-error",
+    "no-request-id",
 };
 
 template<typename Enum, std::size_t Count>
--- /dev/null
+++ b/packages/godwitliftd/src/MeshCommand.cpp
@@ -0,0 +1,40 @@
+/// \file
+/// The mesh node on the users' platform.
+#include "Commands.h"
+
+#include "godwitlift/node/MeshNode.h"
+#include "godwitlift/platform_binding/PlatformBinding.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace godwitlift {
+
+int runMeshNode(const std::string &settingsFile, bool checkOnly)
+{
+    const std::string path = settingsFile.empty() ? platformSettingsPath() : settingsFile;
+    std::string text;
+    if (!readTextFile(path, text))
+        return ExitBadInput;
+    std::string problem;
+    auto settings = valueOr([&] { return decodeMeshSettings(text); }, problem);
+    if (!settings) {
+        std::cerr << path << ": " << problem << "\n";
+        return ExitBadInput;
+    }
+    if (checkOnly) {
+        std::cout << path << ": ok\n";
+        return ExitOk;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto protocol = createPlatformProtocol();
+    auto node = valueOr([&] { return MeshNode::create(std::move(*settings), *protocol, path); },
+                        problem);
+    if (!node) {
+        std::cerr << "godwitliftd: " << problem << "\n";
+        return ExitFailed;
+    }
+    return (*node)->run() ? ExitOk : ExitUnclean;
+}
+
+} // namespace godwitlift
--- a/packages/godwitliftd/src/main.cpp
+++ b/packages/godwitliftd/src/main.cpp
@@ -1,67 +1,35 @@
 /// \file
 /// The node's command line.
-#include "godwitlift/adapters/EventLog.h"
-#include "godwitlift/adapters/NodeRuntime.h"
+#include "Commands.h"
 
 #include <CLI/CLI.hpp>
 
-#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <iterator>
 
-namespace {
+namespace godwitlift {
 
-constexpr int ExitOk = 0;
-constexpr int ExitFailed = 1;
-constexpr int ExitBadInput = 2;
-constexpr int ExitUnclean = 3;
-
-std::optional<godwitlift::NodeSettings> readSettings(const std::string &path)
+bool readTextFile(const std::string &path, std::string &text)
 {
     std::ifstream file(path);
     if (!file) {
         std::cerr << path << ": cannot be read\n";
-        return std::nullopt;
+        return false;
     }
-    const std::string text{ std::istreambuf_iterator<char>(file), {} };
-    std::string problem;
-    auto settings =
-            godwitlift::valueOr([&] { return godwitlift::decodeNodeSettings(text); }, problem);
-    if (!settings)
-        std::cerr << path << ": " << problem << "\n";
-    return settings;
-}
-
-/// Blocks the signals that end the node in every thread; waitForSignal() takes them.
-sigset_t blockSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signals;
+    text.assign(std::istreambuf_iterator<char>(file), {});
+    return true;
 }
 
-int run(godwitlift::NodeSettings settings)
+#ifndef GODWITLIFT_HAS_ADAPTERS
+int runStandAloneNode(const std::string &, bool)
 {
-    const sigset_t signals = blockSignals();
-    godwitlift::startEventLog(settings.identity.host.value());
-    std::string problem;
-    auto node = godwitlift::valueOr(
-            [&] { return godwitlift::NodeRuntime::start(std::move(settings)); }, problem);
-    if (!node) {
-        std::cerr << "godwitliftd: " << problem << "\n";
-        return ExitFailed;
-    }
-    int signal = 0;
-    sigwait(&signals, &signal);
-    return (*node)->shutdownGracefully() ? ExitOk : ExitUnclean;
+    std::cerr << "godwitliftd: built without the stand-alone node\n";
+    return ExitFailed;
 }
+#endif
 
-} // namespace
+} // namespace godwitlift
 
 int main(int argc, char **argv)
 {
@@ -74,21 +42,21 @@
     app.add_option("--settings", settingsFile, "JSON file with the node's settings");
     app.add_option("--check-settings", checkedFile, "Check a settings file and exit");
     app.set_version_flag("--version", "godwitliftd 0.1.0");
+    CLI::App *mesh = app.add_subcommand("mesh", "Run on the users' platform; without --settings "
+                                                "the platform names the file");
+    mesh->add_option("--settings", settingsFile, "JSON file with the node's settings");
+    mesh->add_option("--check-settings", checkedFile, "Check a settings file and exit");
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &error) {
-        return app.exit(error) == 0 ? ExitOk : ExitBadInput;
+        return app.exit(error) == 0 ? godwitlift::ExitOk : godwitlift::ExitBadInput;
     }
+    const bool checkOnly = !checkedFile.empty();
+    if (mesh->parsed())
+        return godwitlift::runMeshNode(checkOnly ? checkedFile : settingsFile, checkOnly);
     if (settingsFile.empty() == checkedFile.empty()) {
         std::cerr << "godwitliftd: give either --settings FILE or --check-settings FILE\n";
-        return ExitBadInput;
-    }
-    auto settings = readSettings(settingsFile.empty() ? checkedFile : settingsFile);
-    if (!settings)
-        return ExitBadInput;
-    if (!checkedFile.empty()) {
-        std::cout << checkedFile << ": ok\n";
-        return ExitOk;
+        return godwitlift::ExitBadInput;
     }
-    return run(std::move(*settings));
+    return godwitlift::runStandAloneNode(checkOnly ? checkedFile : settingsFile, checkOnly);
 }
--- /dev/null
+++ b/packages/node/src/http/HttpMessage.cpp
@@ -0,0 +1,85 @@
+/// \file
+/// Header fields that are passed on and those that are not.
+#include "http/HttpMessage.h"
+
+#include "godwitlift/base/AbslView.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace godwitlift {
+
+bool equalsIgnoringCase(std::string_view a, std::string_view b)
+{
+    return absl::EqualsIgnoreCase(abslView(a), abslView(b));
+}
+
+std::optional<std::string_view> HeaderFields::find(std::string_view name) const
+{
+    for (const HeaderField &field : m_fields) {
+        if (equalsIgnoringCase(field.name, name))
+            return field.value;
+    }
+    return std::nullopt;
+}
+
+std::size_t HeaderFields::count(std::string_view name) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_fields.begin(), m_fields.end(), [&](const HeaderField &field) {
+                return equalsIgnoringCase(field.name, name);
+            }));
+}
+
+bool isHopByHop(std::string_view fieldName, std::string_view connectionValue)
+{
+    static constexpr std::array<std::string_view, 9> names = {
+        "connection",          "keep-alive", "proxy-authenticate", "proxy-connection",
+        "proxy-authorization", "te",         "trailer",            "transfer-encoding",
+        "upgrade"
+    };
+    for (const std::string_view name : names) {
+        if (equalsIgnoringCase(fieldName, name))
+            return true;
+    }
+    if (connectionValue.empty())
+        return false;
+    for (const absl::string_view token : absl::StrSplit(abslView(connectionValue), ',')) {
+        const absl::string_view plain = absl::StripAsciiWhitespace(token);
+        if (equalsIgnoringCase(fieldName, std::string_view(plain.data(), plain.size())))
+            return true;
+    }
+    return false;
+}
+
+void appendForwardedFields(const HeaderFields &fields, const std::vector<std::string_view> &except,
+                           std::string &out)
+{
+    const std::string_view connection = fields.find("connection").value_or(std::string_view());
+    for (const HeaderField &field : fields.all()) {
+        const bool isFraming = equalsIgnoringCase(field.name, "content-length")
+                               || equalsIgnoringCase(field.name, "expect");
+        const bool isExcepted =
+                std::any_of(except.begin(), except.end(), [&](std::string_view name) {
+                    return equalsIgnoringCase(field.name, name);
+                });
+        if (isFraming || isExcepted || isHopByHop(field.name, connection))
+            continue;
+        absl::StrAppend(&out, field.name, ": ", field.value, "\r\n");
+    }
+}
+
+std::string_view reasonPhrase(unsigned status)
+{
+    const auto known = boost::beast::http::obsolete_reason(
+            boost::beast::http::int_to_status(status));
+    return { known.data(), known.size() };
+}
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/node/src/http/MessageParser.cpp
@@ -0,0 +1,274 @@
+/// \file
+/// Boost.Beast's parsers behind checks for ambiguous framing.
+#include "http/MessageParser.h"
+
+#include <absl/strings/ascii.h>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace godwitlift {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+/// Largest response head that is accepted from a backend server, in bytes.
+constexpr std::size_t ResponseHeadLimit = 64 * 1024;
+
+/// A body that is handed out in pieces; unlike the library's string body it reserves nothing for
+/// an announced length.
+struct PieceBody
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template<bool isRequest, class Fields>
+        reader(http::header<isRequest, Fields> &, value_type &body)
+            : m_body(body)
+        {}
+        void init(const boost::optional<std::uint64_t> &, boost::system::error_code &error)
+        {
+            error = {};
+        }
+        template<class Buffers>
+        std::size_t put(const Buffers &buffers, boost::system::error_code &error)
+        {
+            error = {};
+            std::size_t size = 0;
+            for (auto it = boost::asio::buffer_sequence_begin(buffers);
+                 it != boost::asio::buffer_sequence_end(buffers); ++it) {
+                const boost::asio::const_buffer piece = *it;
+                m_body.append(static_cast<const char *>(piece.data()), piece.size());
+                size += piece.size();
+            }
+            return size;
+        }
+        void finish(boost::system::error_code &error) { error = {}; }
+
+    private:
+        value_type &m_body;
+    };
+};
+
+template<typename Fields>
+HeaderFields copyFields(const Fields &from)
+{
+    HeaderFields fields;
+    for (const auto &field : from) {
+        fields.add(std::string(field.name_string().data(), field.name_string().size()),
+                   std::string(field.value().data(), field.value().size()));
+    }
+    return fields;
+}
+
+/// A header line that continues on the next one is obsolete and read differently by different
+/// programs.
+bool hasFoldedLine(std::string_view head)
+{
+    return head.find("\r\n ") != std::string_view::npos
+           || head.find("\r\n\t") != std::string_view::npos;
+}
+
+ParseState stateOf(const boost::system::error_code &error)
+{
+    if (error == http::error::body_limit)
+        return ParseState::BodyTooLarge;
+    if (error == http::error::header_limit)
+        return ParseState::HeadTooLarge;
+    return ParseState::Malformed;
+}
+
+/// Feeds \p input once; removes what was taken from it.
+template<typename Parser>
+boost::system::error_code putOnce(Parser &parser, std::string &input)
+{
+    boost::system::error_code error;
+    const std::size_t taken = parser.put(boost::asio::buffer(input), error);
+    input.erase(0, taken);
+    return error;
+}
+
+/// Feeds the body until it is complete or the input is used up.
+template<typename Parser>
+ParseState putBody(Parser &parser, std::string &input)
+{
+    while (!parser.is_done() && !input.empty()) {
+        const std::size_t before = input.size();
+        const auto error = putOnce(parser, input);
+        if (error == http::error::need_more)
+            break;
+        if (error)
+            return stateOf(error);
+        if (input.size() == before)
+            break;
+    }
+    return parser.is_done() ? ParseState::Complete : ParseState::NeedsMore;
+}
+
+} // namespace
+
+struct RequestParser::Parser
+{
+    http::request_parser<PieceBody> parser;
+};
+
+RequestParser::RequestParser(std::size_t headLimit, std::size_t bodyLimit)
+    : m_parser(std::make_unique<Parser>())
+    , m_headLimit(headLimit)
+    , m_bodyLimit(bodyLimit)
+{
+    m_parser->parser.header_limit(static_cast<std::uint32_t>(headLimit));
+    m_parser->parser.body_limit(bodyLimit);
+    m_parser->parser.eager(true);
+}
+
+RequestParser::~RequestParser() = default;
+
+bool RequestParser::isFramingSound() const
+{
+    const HeaderFields &fields = m_request.head.fields;
+    const std::size_t lengths = fields.count("content-length");
+    const std::size_t codings = fields.count("transfer-encoding");
+    if (lengths + codings > 1 || fields.count("host") != 1)
+        return false;
+    const auto coding = fields.find("transfer-encoding");
+    return !coding || equalsIgnoringCase(*coding, "chunked");
+}
+
+ParseState RequestParser::parseHead(std::string &input)
+{
+    const std::size_t from = m_scanned > 3 ? m_scanned - 3 : 0;
+    const std::size_t end = input.find("\r\n\r\n", from);
+    if (end == std::string::npos) {
+        m_scanned = input.size();
+        return input.size() > m_headLimit ? ParseState::HeadTooLarge : ParseState::NeedsMore;
+    }
+    if (end + 4 > m_headLimit)
+        return ParseState::HeadTooLarge;
+    if (hasFoldedLine(std::string_view(input).substr(0, end)))
+        return ParseState::Malformed;
+    std::string block = input.substr(0, end + 4);
+    const auto error = putOnce(m_parser->parser, block);
+    if (error && error != http::error::need_more)
+        return stateOf(error);
+    if (!m_parser->parser.is_header_done())
+        return ParseState::Malformed;
+    input.erase(0, end + 4);
+    const auto &message = m_parser->parser.get();
+    RequestHead &head = m_request.head;
+    head.method = std::string(message.method_string());
+    head.target = std::string(message.target());
+    head.fields = copyFields(message);
+    head.keepsAlive = message.keep_alive();
+    const auto expectation = head.fields.find("expect");
+    head.expectsContinue = expectation && equalsIgnoringCase(*expectation, "100-continue");
+    if (!isFramingSound())
+        return ParseState::Malformed;
+    m_hasHead = true;
+    return ParseState::HeadComplete;
+}
+
+ParseState RequestParser::feed(std::string &input)
+{
+    if (!m_hasHead) {
+        const ParseState state = parseHead(input);
+        if (state != ParseState::HeadComplete)
+            return state;
+        if (!m_parser->parser.is_done() && m_parser->parser.content_length().value_or(0) > m_bodyLimit)
+            return ParseState::BodyTooLarge;
+    }
+    const ParseState state = putBody(m_parser->parser, input);
+    if (state == ParseState::Complete)
+        m_request.body = std::move(m_parser->parser.get().body());
+    return state;
+}
+
+struct ResponseParser::Parser
+{
+    http::response_parser<PieceBody> parser;
+};
+
+ResponseParser::ResponseParser(bool isHeadMethod)
+    : m_isHeadMethod(isHeadMethod)
+{
+    reset();
+}
+
+ResponseParser::~ResponseParser() = default;
+
+void ResponseParser::reset()
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->parser.header_limit(ResponseHeadLimit);
+    m_parser->parser.body_limit(boost::none);
+    m_parser->parser.eager(true);
+    m_parser->parser.skip(m_isHeadMethod);
+}
+
+ParseState ResponseParser::parseHead(std::string &input)
+{
+    for (;;) {
+        const std::size_t end = input.find("\r\n\r\n");
+        if (end == std::string::npos) {
+            // Bytes that cannot begin a response are found before the whole head has come.
+            const std::string_view expected = "HTTP/1.";
+            const std::size_t size = std::min(input.size(), expected.size());
+            if (input.compare(0, size, expected, 0, size) != 0)
+                return ParseState::Malformed;
+            return input.size() > ResponseHeadLimit ? ParseState::Malformed
+                                                    : ParseState::NeedsMore;
+        }
+        std::string block = input.substr(0, end + 4);
+        const auto error = putOnce(m_parser->parser, block);
+        if ((error && error != http::error::need_more) || !m_parser->parser.is_header_done())
+            return ParseState::Malformed;
+        input.erase(0, end + 4);
+        const auto &message = m_parser->parser.get();
+        if (message.result_int() >= 200)
+            break;
+        reset();
+    }
+    const auto &message = m_parser->parser.get();
+    m_head.status = message.result_int();
+    m_head.reasonPhrase = std::string(message.reason());
+    m_head.fields = copyFields(message);
+    m_head.keepsAlive = message.keep_alive();
+    m_head.endsWithConnection = message.need_eof() && !m_isHeadMethod;
+    if (const auto length = m_parser->parser.content_length())
+        m_head.contentLength = *length;
+    if (m_head.fields.count("content-length") + m_head.fields.count("transfer-encoding") > 1)
+        return ParseState::Malformed;
+    m_hasHead = true;
+    return ParseState::HeadComplete;
+}
+
+ParseState ResponseParser::feed(std::string &input, std::string &body)
+{
+    if (!m_hasHead) {
+        const ParseState state = parseHead(input);
+        if (state != ParseState::HeadComplete)
+            return state;
+    }
+    const ParseState state = putBody(m_parser->parser, input);
+    std::string &piece = m_parser->parser.get().body();
+    if (body.empty())
+        body.swap(piece);
+    else
+        body += piece;
+    piece.clear();
+    return state;
+}
+
+bool ResponseParser::finishAtEnd()
+{
+    if (!m_hasHead)
+        return false;
+    boost::system::error_code error;
+    m_parser->parser.put_eof(error);
+    return !error && m_parser->parser.is_done();
+}
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/node/src/peers/FrameChannel.h
@@ -0,0 +1,63 @@
+/// \file
+/// Length-prefixed protocol frames on one TCP connection between two nodes.
+#pragma once
+
+#include "http/Network.h"
+#include "mesh.pb.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace godwitlift {
+
+/// Hears about the frames of a channel.
+class FrameObserver
+{
+public:
+    virtual ~FrameObserver() = default;
+    virtual void frameReceived(const mesh::Frame &frame) = 0;
+    /// The channel is unusable; \p cause is a short plain word.
+    virtual void channelClosed(std::string_view cause) = 0;
+};
+
+/// Sends and receives frames. Frames written within one turn of the loop leave together.
+class FrameChannel final : public std::enable_shared_from_this<FrameChannel>
+{
+public:
+    FrameChannel(asio::io_context &loop, TcpSocket socket, FrameObserver &observer);
+
+    void start();
+    /// The observer is not told.
+    void close();
+    void send(const mesh::Frame &frame);
+    bool isOpen() const { return !m_isClosed; }
+    /// When bytes last came.
+    absl::Time heard() const { return m_heard; }
+    std::size_t unsentBytes() const { return m_out.size() + m_pending.size(); }
+
+private:
+    /// Largest frame that is accepted, in bytes: a request body at its limit with room to spare.
+    static constexpr std::size_t FrameLimit = std::size_t(72) * 1024 * 1024;
+
+    void scheduleFlush();
+    void flush();
+    void waitReadable();
+    void onReadable(const boost::system::error_code &error);
+    void parseInput();
+    void fail(std::string_view cause);
+
+    asio::io_context &m_loop;
+    TcpSocket m_socket;
+    FrameObserver *m_observer; ///< Null once closed.
+    std::string m_input;
+    std::string m_out;     ///< Being written while m_isWriting.
+    std::string m_pending; ///< Follows m_out.
+    bool m_isWriting = false;
+    bool m_isFlushScheduled = false;
+    bool m_isClosed = false;
+    absl::Time m_heard;
+};
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/node/src/peers/PeerLink.h
@@ -0,0 +1,82 @@
+/// \file
+/// The way to another host's gate: a connection that this node opens and keeps.
+#pragma once
+
+#include "gate/Attempt.h"
+#include "peers/FrameChannel.h"
+#include "peers/PeerMessages.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+
+namespace godwitlift {
+
+class PeerLink;
+
+/// Hears about all links of a node.
+class PeerLinkObserver
+{
+public:
+    virtual ~PeerLinkObserver() = default;
+    virtual void linkOpened(PeerLink &link) = 0;
+    virtual void linkLost(PeerLink &link, std::string_view cause) = 0;
+    virtual void gateReported(PeerLink &link, const GateReport &report) = 0;
+    /// Load as of the end of an attempt.
+    virtual void loadReported(PeerLink &link, std::uint32_t running, std::uint32_t queued) = 0;
+    /// Every other frame: configuration, hosts, drains.
+    virtual void linkFrame(PeerLink &link, const mesh::Frame &frame) = 0;
+    virtual mesh::Frame helloFor(const HostId &host) = 0;
+};
+
+/// Keeps one connection to one peer, with a back-off between tries, and carries attempts on it.
+///
+/// Silence is found by the gate's own regular reports. When the connection is lost, every open
+/// attempt ends as one that may have run.
+class PeerLink final : public AttemptGateway, private FrameObserver
+{
+public:
+    PeerLink(asio::io_context &loop, PeerHost host, PeerLinkObserver &observer);
+    ~PeerLink() override;
+
+    void start();
+    const PeerHost &host() const { return m_host; }
+    /// Takes over another address, as after a replacement of the host.
+    void setHost(const PeerHost &host);
+    bool isUp() const { return m_isUp; }
+    /// How long the peer has been out of reach; zero while it is up.
+    absl::Duration downFor(absl::Time now) const;
+    /// Checks for silence. Call it several times a second.
+    void tick(absl::Time now);
+    /// The peer is known to be there: try now.
+    void wake();
+    void send(const mesh::Frame &frame);
+
+    void open(AttemptOrder order, std::weak_ptr<AttemptObserver> observer) override;
+    void cancel(AttemptId id) override;
+    void grant(AttemptId id, std::size_t bytes) override;
+
+private:
+    void connect();
+    void onConnected(const boost::system::error_code &error);
+    void retryLater();
+    void frameReceived(const mesh::Frame &frame) override;
+    void channelClosed(std::string_view cause) override;
+    void dropChannel(std::string_view cause);
+    std::shared_ptr<AttemptObserver> observerOf(std::uint64_t attempt);
+
+    asio::io_context &m_loop;
+    PeerHost m_host;
+    PeerLinkObserver &m_observer;
+    TcpSocket m_connecting;
+    LoopTimer m_timer; ///< Connect timeout or pause before the next try.
+    std::shared_ptr<FrameChannel> m_channel;
+    absl::flat_hash_map<std::uint64_t, std::weak_ptr<AttemptObserver>> m_attempts;
+    bool m_isUp = false; ///< The peer has said hello.
+    bool m_isConnecting = false;
+    absl::Duration m_pause;
+    absl::Time m_downSince;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< False after destruction.
+};
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/node/src/peers/PeerMessages.cpp
@@ -0,0 +1,147 @@
+/// \file
+/// Conversions, one pair per message.
+#include "peers/PeerMessages.h"
+
+#include <algorithm>
+
+namespace godwitlift {
+
+namespace {
+
+std::uint32_t millisecondsUntil(absl::Time time, absl::Time now)
+{
+    const std::int64_t left = absl::ToInt64Milliseconds(time - now);
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(left, 0, INT32_MAX));
+}
+
+Reason reasonOf(std::uint32_t value)
+{
+    return value < ReasonCount ? static_cast<Reason>(value) : Reason::AnswerLost;
+}
+
+} // namespace
+
+mesh::HostEntry encodeHost(const PeerHost &host)
+{
+    mesh::HostEntry entry;
+    entry.set_host(host.host.value());
+    entry.set_address(host.address.value());
+    entry.set_zone(host.zone.value());
+    return entry;
+}
+
+PeerHost decodeHost(const mesh::HostEntry &entry)
+{
+    return { HostId(entry.host()), Address(entry.address()), ZoneId(entry.zone()) };
+}
+
+mesh::Frame encodeOrder(const AttemptOrder &order, absl::Time now)
+{
+    mesh::Frame frame;
+    mesh::OpenRequest &message = *frame.mutable_open_request();
+    message.set_attempt(order.id.value());
+    message.set_request_id(order.requestId);
+    message.set_service(order.service.value());
+    message.set_head(order.head);
+    message.set_body(*order.body);
+    message.set_urgency(static_cast<std::uint32_t>(std::max(order.urgency, 0)));
+    message.set_deadline_ms(millisecondsUntil(order.deadline, now));
+    message.set_objective_ms(millisecondsUntil(order.objective, now));
+    message.set_is_idempotent(order.isIdempotent);
+    message.set_is_head_method(order.isHeadMethod);
+    return frame;
+}
+
+AttemptOrder decodeOrder(const mesh::OpenRequest &message, absl::Time now)
+{
+    AttemptOrder order;
+    order.id = AttemptId(message.attempt());
+    order.requestId = message.request_id();
+    order.service = ServiceId(message.service());
+    order.head = message.head();
+    order.body = std::make_shared<const std::string>(message.body());
+    order.urgency = static_cast<int>(message.urgency());
+    order.deadline = now + absl::Milliseconds(message.deadline_ms());
+    order.objective = now + absl::Milliseconds(message.objective_ms());
+    order.isIdempotent = message.is_idempotent();
+    order.isHeadMethod = message.is_head_method();
+    return order;
+}
+
+mesh::Frame encodeFailure(AttemptId id, const AttemptFailure &failure)
+{
+    mesh::Frame frame;
+    mesh::RequestRefused &message = *frame.mutable_request_refused();
+    message.set_attempt(id.value());
+    message.set_reason(static_cast<std::uint32_t>(failure.reason));
+    message.set_retry_after_ms(
+            static_cast<std::uint32_t>(absl::ToInt64Milliseconds(failure.retryAfter)));
+    message.set_reached_server(failure.reachedServer);
+    message.set_may_have_run(failure.verdict != Verdict::NotRun);
+    return frame;
+}
+
+AttemptFailure decodeFailure(const mesh::RequestRefused &message)
+{
+    AttemptFailure failure;
+    failure.verdict = message.may_have_run() ? Verdict::MayHaveRun : Verdict::NotRun;
+    failure.reason = reasonOf(message.reason());
+    failure.reachedServer = message.reached_server();
+    failure.retryAfter = absl::Milliseconds(message.retry_after_ms());
+    return failure;
+}
+
+mesh::Frame encodeHead(AttemptId id, AnswerHead head)
+{
+    mesh::Frame frame;
+    mesh::AnswerHead &message = *frame.mutable_answer_head();
+    message.set_attempt(id.value());
+    message.set_status(head.status);
+    message.set_reason_phrase(std::move(head.phrase));
+    message.set_fields(std::move(head.fields));
+    message.set_content_length(
+            head.contentLength ? static_cast<std::int64_t>(*head.contentLength) : -1);
+    message.set_has_seal(head.isSealed);
+    return frame;
+}
+
+AnswerHead decodeHead(const mesh::AnswerHead &message)
+{
+    AnswerHead head;
+    head.status = message.status();
+    head.phrase = message.reason_phrase();
+    head.fields = message.fields();
+    if (message.content_length() >= 0)
+        head.contentLength = static_cast<std::uint64_t>(message.content_length());
+    head.isSealed = message.has_seal();
+    return head;
+}
+
+mesh::Frame encodeReport(const GateReport &report, Version version, bool isLeaving)
+{
+    mesh::Frame frame;
+    mesh::GateState &message = *frame.mutable_gate_state();
+    message.set_server(report.server.value());
+    message.set_service(report.service.value());
+    message.set_takes_work(report.takesWork);
+    message.set_slots(report.slots);
+    message.set_running(report.running);
+    message.set_queued(report.queued);
+    message.set_configuration_version(version.value());
+    message.set_is_leaving(isLeaving);
+    return frame;
+}
+
+GateReport decodeReport(const mesh::GateState &message)
+{
+    GateReport report;
+    report.server = BackendServerId(message.server());
+    report.service = ServiceId(message.service());
+    report.takesWork = message.takes_work();
+    report.slots = message.slots();
+    report.running = message.running();
+    report.queued = message.queued();
+    return report;
+}
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/node/src/report/NodeMetrics.cpp
@@ -0,0 +1,139 @@
+/// \file
+/// prometheus-cpp behind the node's own names.
+#include "report/NodeMetrics.h"
+
+#include <absl/strings/str_cat.h>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <map>
+
+namespace godwitlift {
+
+namespace {
+
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+using prometheus::Registry;
+
+/// Bounds of the latency buckets in seconds: from an answer of the same host to the longest
+/// deadlines of clients.
+const prometheus::Histogram::BucketBoundaries LatencyBounds = { 0.005, 0.02, 0.05, 0.1, 0.2,
+                                                                0.4,   0.8,  1.6,  3.2, 10 };
+
+Family<Counter> &counter(Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+Family<Histogram> &histogram(Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+} // namespace
+
+struct NodeMetrics::Families
+{
+    Registry registry;
+    Family<Counter> &requests = counter(registry, "godwitlift_requests_total",
+                                        "Client requests by status, reason and urgency");
+    Family<Histogram> &latency = histogram(registry, "godwitlift_request_seconds",
+                                           "Time from a request's arrival to its answer");
+    Family<Counter> &attempts = counter(registry, "godwitlift_attempts_total",
+                                        "Attempts at gates by verdict and reason");
+    Family<Histogram> &service = histogram(registry, "godwitlift_service_seconds",
+                                           "Time at the backend server");
+    Family<Counter> &retries =
+            counter(registry, "godwitlift_retries_total", "Repeated attempts by reason");
+    Family<Counter> &refusals = counter(registry, "godwitlift_gate_refusals_total",
+                                        "Attempts that the gate refused, by reason");
+    Family<Counter> &rejected = counter(registry, "godwitlift_rejected_total",
+                                        "Malformed or oversized requests by status");
+    Family<Counter> &store =
+            counter(registry, "godwitlift_store_calls_total", "Store calls by outcome");
+    Family<Counter> &links =
+            counter(registry, "godwitlift_links_lost_total", "Lost links to peers by cause");
+    Family<Counter> &undecodable = counter(registry, "godwitlift_undecodable_total",
+                                           "Inputs that could not be read, by kind");
+    Family<Gauge> &gauges = prometheus::BuildGauge()
+                                    .Name("godwitlift_node")
+                                    .Help("State of the node by name")
+                                    .Register(registry);
+};
+
+NodeMetrics::NodeMetrics()
+    : m_families(std::make_unique<Families>())
+{}
+
+NodeMetrics::~NodeMetrics() = default;
+
+void NodeMetrics::requestEnded(unsigned status, Reason reason, int urgency, absl::Duration latency)
+{
+    m_families->requests
+            .Add({ { "status", absl::StrCat(status) },
+                   { "reason", std::string(name(reason)) },
+                   { "urgency", absl::StrCat(urgency) } })
+            .Increment();
+    m_families->latency.Add({ { "urgency", absl::StrCat(urgency) } }, LatencyBounds)
+            .Observe(absl::ToDoubleSeconds(latency));
+}
+
+void NodeMetrics::attemptEnded(Verdict verdict, Reason reason, absl::Duration service)
+{
+    m_families->attempts
+            .Add({ { "verdict", std::string(name(verdict)) },
+                   { "reason", std::string(name(reason)) } })
+            .Increment();
+    if (verdict == Verdict::Ran)
+        m_families->service.Add({}, LatencyBounds).Observe(absl::ToDoubleSeconds(service));
+}
+
+void NodeMetrics::retried(Reason reason)
+{
+    m_families->retries.Add({ { "reason", std::string(name(reason)) } }).Increment();
+}
+
+void NodeMetrics::gateRefused(Reason reason)
+{
+    m_families->refusals.Add({ { "reason", std::string(name(reason)) } }).Increment();
+}
+
+void NodeMetrics::requestRejected(unsigned status)
+{
+    m_families->rejected.Add({ { "status", absl::StrCat(status) } }).Increment();
+}
+
+void NodeMetrics::storeCall(std::string_view call, std::string_view outcome)
+{
+    m_families->store
+            .Add({ { "call", std::string(call) }, { "outcome", std::string(outcome) } })
+            .Increment();
+}
+
+void NodeMetrics::linkLost(std::string_view cause)
+{
+    m_families->links.Add({ { "cause", std::string(cause) } }).Increment();
+}
+
+void NodeMetrics::undecodable(std::string_view what)
+{
+    m_families->undecodable.Add({ { "kind", std::string(what) } }).Increment();
+}
+
+void NodeMetrics::set(std::string_view gauge, double value)
+{
+    m_families->gauges.Add({ { "value", std::string(gauge) } }).Set(value);
+}
+
+std::string NodeMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
+}
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -0,0 +1,395 @@
+/// \file
+/// Composition of a node, its timers and its stop.
+#include "godwitlift/node/MeshNode.h"
+
+#include "ingress/IngressService.h"
+#include "peers/PeerMesh.h"
+#include "runtime/AnnouncementService.h"
+#include "runtime/ConfigurationKeeper.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <random>
+#include <unistd.h>
+
+namespace godwitlift {
+
+namespace {
+
+/// Pause between two rounds of checks that need no exact time.
+constexpr absl::Duration TickPause = absl::Milliseconds(100);
+/// Pause between two checks of the queue while requests wait.
+constexpr absl::Duration QueuePause = absl::Milliseconds(20);
+/// Pause between two sweeps over client connections and idle ones to the backend server.
+constexpr absl::Duration SweepPause = absl::Seconds(1);
+/// Descriptors kept for files, links, the store and the backend server.
+constexpr std::size_t ReservedDescriptors = 600;
+/// After SIGTERM the node goes on serving until clients have been led away by its readiness.
+constexpr absl::Duration LeaveNotice = absl::Milliseconds(2600);
+/// Time without a request after which a leaving node counts as idle.
+constexpr absl::Duration QuietTime = absl::Milliseconds(300);
+/// Part of the stop timeout that is kept for closing.
+constexpr absl::Duration StopMargin = absl::Milliseconds(500);
+
+/// Answers the platform's question whether clients may come.
+class ReadinessService final : public HttpHandler
+{
+public:
+    explicit ReadinessService(const PlatformProtocol &protocol)
+        : m_protocol(protocol)
+    {}
+    void setReady(bool isReady) { m_isReady = isReady; }
+    void handle(const std::shared_ptr<Exchange> &exchange) override
+    {
+        const RequestHead &head = exchange->request().head;
+        if (!m_protocol.isReadinessCheck(head.method, head.target))
+            exchange->respond(404, reasonPhrase(404), {}, {});
+        else if (m_isReady)
+            exchange->respond(200, reasonPhrase(200), {}, {});
+        else
+            exchange->respond(503, reasonPhrase(503), {}, {});
+    }
+    void requestRejected(unsigned) override {}
+
+private:
+    const PlatformProtocol &m_protocol;
+    bool m_isReady = false;
+};
+
+/// Serves the metrics as text.
+class MetricsService final : public HttpHandler
+{
+public:
+    MetricsService(NodeMetrics &metrics, std::function<void()> refresh)
+        : m_metrics(metrics)
+        , m_refresh(std::move(refresh))
+    {}
+    void handle(const std::shared_ptr<Exchange> &exchange) override
+    {
+        m_refresh();
+        exchange->respond(200, reasonPhrase(200), "Content-Type: text/plain; version=0.0.4\r\n",
+                          m_metrics.text());
+    }
+    void requestRejected(unsigned) override {}
+
+private:
+    NodeMetrics &m_metrics;
+    std::function<void()> m_refresh;
+};
+
+std::uint64_t drawSeed()
+{
+    std::random_device device;
+    return (std::uint64_t(device()) << 32U) | device();
+}
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return std::nullopt;
+    return std::string{ std::istreambuf_iterator<char>(file), {} };
+}
+
+class Node final : public MeshNode, private GateListener
+{
+public:
+    Node(MeshSettings settings, const PlatformProtocol &protocol, std::string settingsFile)
+        : m_settings(std::move(settings))
+        , m_protocol(protocol)
+        , m_settingsFile(std::move(settingsFile))
+        , m_loop(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE)
+        , m_random(drawSeed())
+        , m_log(STDOUT_FILENO, m_settings.host.value())
+        , m_selector(m_random)
+        , m_store(m_loop, *parseEndpoint(m_settings.store.value()), protocol,
+                  [this](const StoreRequest &request, const StoreAnswer &answer) {
+                      m_metrics.storeCall(name(request.kind), name(answer.outcome));
+                  })
+        , m_server(m_loop,
+                   { m_settings.service, *parseEndpoint(m_settings.backendServer.value()),
+                     protocol },
+                   *this)
+        , m_mesh(m_loop,
+                 { { m_settings.host, m_settings.peers, m_settings.zone }, m_settings.peers },
+                 m_store, m_server, m_selector, m_log, m_metrics, m_random)
+        , m_ingress(m_loop,
+                    { m_settings.host, m_settings.service, protocol.fieldNames(),
+                      m_settings.retryRule },
+                    m_selector, m_mesh, m_log, m_metrics)
+        , m_keeper(m_loop, m_store, protocol, m_random, m_log, m_metrics,
+                   [this](auto catalogue) { configurationInForce(std::move(catalogue)); })
+        , m_announcements(protocol, m_settings.service, m_settings.backendServer, m_server, m_mesh,
+                          m_log, m_metrics)
+        , m_readiness(protocol)
+        , m_metricsService(m_metrics, [this] { refreshGauges(); })
+        , m_clientServer(m_loop, m_ingress)
+        , m_announcementServer(m_loop, m_announcements)
+        , m_readinessServer(m_loop, m_readiness)
+        , m_metricsServer(m_loop, m_metricsService)
+        , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
+        , m_tick(m_loop.get_executor())
+        , m_queueTick(m_loop.get_executor())
+    {
+        m_mesh.setConfiguration(m_keeper);
+        m_selector.setOwnZone(m_settings.zone);
+        m_clientServer.setLimits(clientLimits(ClientLimits()));
+    }
+
+    Result<void> listen()
+    {
+        std::string error;
+        const auto bind = [&](HttpServer &server, const Address &address) {
+            return server.listen(*parseEndpoint(address.value()), error);
+        };
+        if (!bind(m_clientServer, m_settings.clients))
+            return inputFailure("listen.clients", error);
+        if (!bind(m_announcementServer, m_settings.announcements))
+            return inputFailure("listen.announcements", error);
+        if (!bind(m_readinessServer, m_settings.readiness))
+            return inputFailure("listen.readiness", error);
+        if (!bind(m_metricsServer, m_settings.metrics))
+            return inputFailure("listen.metrics", error);
+        if (!m_mesh.listen(error))
+            return inputFailure("listen.peers", error);
+        return {};
+    }
+
+    bool run() override
+    {
+        m_log.write("start",
+                    LogLine("start")
+                            .add("zone", m_settings.zone.value())
+                            .add("service", m_settings.service.value())
+                            .add("backend_server", m_settings.backendServer.value())
+                            .add("clients", m_settings.clients.value()),
+                    steadyNow());
+        m_mesh.start();
+        m_keeper.start();
+        waitForSignal();
+        scheduleTick();
+        m_loop.run();
+        m_log.write("stop",
+                    LogLine("stop")
+                            .add("unanswered", m_ingress.callCount())
+                            .add("dropped_lines", m_log.droppedLines()),
+                    steadyNow());
+        return m_ingress.callCount() == 0;
+    }
+
+private:
+    ServerLimits clientLimits(const ClientLimits &limits) const
+    {
+        ServerLimits server;
+        server.headBytes = limits.headerBytes;
+        server.bodyBytes = limits.bodyBytes;
+        server.headTimeout = limits.headerTimeout;
+        server.idleTimeout = limits.idleTimeout;
+        server.connections = m_settings.descriptorLimit > 2 * ReservedDescriptors
+                                     ? m_settings.descriptorLimit - ReservedDescriptors
+                                     : m_settings.descriptorLimit / 2;
+        return server;
+    }
+
+    void configurationInForce(std::shared_ptr<const RouteCatalogue> catalogue)
+    {
+        m_clientServer.setLimits(clientLimits(catalogue->limits()));
+        m_server.setCatalogue(catalogue);
+        m_ingress.setCatalogue(std::move(catalogue));
+        m_readiness.setReady(!m_isLeaving);
+    }
+
+    void gateChanged(bool isUrgent) override
+    {
+        m_mesh.gateChanged(isUrgent);
+        if (m_server.hasWaiting() && !m_isQueueTicking)
+            scheduleQueueTick();
+    }
+
+    void gateRefused(const std::string &requestId, Reason reason) override
+    {
+        m_metrics.gateRefused(reason);
+        const GateReport report = m_server.report();
+        m_log.write("gate-refused",
+                    LogLine("gate-refused")
+                            .add("request", requestId)
+                            .add("reason", name(reason))
+                            .add("running", report.running)
+                            .add("queued", report.queued)
+                            .add("slots", report.slots),
+                    steadyNow());
+    }
+
+    void serverStateChanged(std::string_view cause) override
+    {
+        const ServerLifecycle &lifecycle = m_server.lifecycle();
+        m_log.write("backend-server",
+                    LogLine("backend-server")
+                            .add("server", lifecycle.id().value())
+                            .add("state", name(lifecycle.state()))
+                            .add("slots", lifecycle.slots())
+                            .add("started_ms", lifecycle.startedUnixMs())
+                            .add("cause", cause),
+                    steadyNow());
+    }
+
+    void refreshGauges()
+    {
+        m_metrics.set("configuration_version", static_cast<double>(m_keeper.version().value()));
+        m_metrics.set("links_up", static_cast<double>(m_mesh.linksUp()));
+        m_metrics.set("known_nodes", static_cast<double>(m_mesh.nodeCount()));
+        m_metrics.set("client_connections", static_cast<double>(m_clientServer.connectionCount()));
+        m_metrics.set("open_calls", static_cast<double>(m_ingress.callCount()));
+        m_metrics.set("log_lines_dropped", static_cast<double>(m_log.droppedLines()));
+    }
+
+    void scheduleTick()
+    {
+        expireAfter(m_tick, TickPause);
+        m_tick.async_wait([this](const boost::system::error_code &error) {
+            if (error)
+                return;
+            tick();
+            if (!m_loop.stopped())
+                scheduleTick();
+        });
+    }
+
+    void scheduleQueueTick()
+    {
+        m_isQueueTicking = true;
+        expireAfter(m_queueTick, QueuePause);
+        m_queueTick.async_wait([this](const boost::system::error_code &error) {
+            m_isQueueTicking = false;
+            if (error)
+                return;
+            m_server.tick();
+            if (m_server.hasWaiting() && !m_isQueueTicking)
+                scheduleQueueTick();
+        });
+    }
+
+    void tick()
+    {
+        const absl::Time now = steadyNow();
+        m_mesh.tick();
+        if (now - m_lastSweep >= SweepPause) {
+            m_lastSweep = now;
+            m_server.tick();
+            m_clientServer.sweep();
+            m_announcementServer.sweep();
+            m_readinessServer.sweep();
+            m_metricsServer.sweep();
+        }
+        if (m_isLeaving)
+            leaveIfDone(now);
+    }
+
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                reload();
+            else
+                beginLeaving();
+            waitForSignal();
+        });
+    }
+
+    void reload()
+    {
+        const auto text = readFile(m_settingsFile);
+        std::string problem = "cannot be read";
+        const auto settings =
+                text ? valueOr([&] { return decodeMeshSettings(*text); }, problem) : std::nullopt;
+        if (!settings) {
+            m_log.write("reload-refused", LogLine("reload-refused").add("problem", problem),
+                        steadyNow());
+            return;
+        }
+        m_settings.stopTimeout = settings->stopTimeout;
+        m_ingress.setRetryRule(settings->retryRule);
+        m_log.write("reload",
+                    LogLine("reload")
+                            .add("changed", *settings == m_settings ? "no" : "yes")
+                            .add("stop_timeout_ms", m_settings.stopTimeout),
+                    steadyNow());
+    }
+
+    void beginLeaving()
+    {
+        if (m_isLeaving)
+            return;
+        m_isLeaving = true;
+        m_leavingSince = steadyNow();
+        m_lastBusy = m_leavingSince;
+        m_log.write("stopping", LogLine("stopping").add("open_calls", m_ingress.callCount()),
+                    steadyNow());
+        m_readiness.setReady(false);
+        m_clientServer.beginClosing();
+        m_server.beginLeaving();
+        m_mesh.beginLeaving(m_server.lifecycle().state() != ServerState::Ready);
+    }
+
+    void leaveIfDone(absl::Time now)
+    {
+        const bool isBusy = m_ingress.callCount() > 0 || m_server.runningCount() > 0
+                            || m_clientServer.openExchanges() > 0;
+        if (isBusy)
+            m_lastBusy = now;
+        const absl::Duration since = now - m_leavingSince;
+        const bool isQuiet = since >= LeaveNotice && now - m_lastBusy >= QuietTime;
+        if (!isQuiet && since < m_settings.stopTimeout - StopMargin)
+            return;
+        m_clientServer.stopAccepting();
+        m_loop.stop();
+    }
+
+    MeshSettings m_settings;
+    const PlatformProtocol &m_protocol;
+    std::string m_settingsFile;
+    asio::io_context m_loop;
+    SeededRandom m_random;
+    DecisionLog m_log;
+    NodeMetrics m_metrics;
+    FinishTimeSelector m_selector;
+    StoreClient m_store;
+    LocalServer m_server;
+    PeerMesh m_mesh;
+    IngressService m_ingress;
+    ConfigurationKeeper m_keeper;
+    AnnouncementService m_announcements;
+    ReadinessService m_readiness;
+    MetricsService m_metricsService;
+    HttpServer m_clientServer;
+    HttpServer m_announcementServer;
+    HttpServer m_readinessServer;
+    HttpServer m_metricsServer;
+    asio::signal_set m_signals;
+    LoopTimer m_tick;
+    LoopTimer m_queueTick;
+    bool m_isQueueTicking = false;
+    absl::Time m_lastSweep = absl::InfinitePast();
+    bool m_isLeaving = false;
+    absl::Time m_leavingSince;
+    absl::Time m_lastBusy;
+};
+
+} // namespace
+
+Result<std::unique_ptr<MeshNode>> MeshNode::create(MeshSettings settings,
+                                                   const PlatformProtocol &protocol,
+                                                   std::string settingsFile)
+{
+    auto node = std::make_unique<Node>(std::move(settings), protocol, std::move(settingsFile));
+    BOOST_LEAF_CHECK(node->listen());
+    return std::unique_ptr<MeshNode>(std::move(node));
+}
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/node/src/store/StoreClient.cpp
@@ -0,0 +1,153 @@
+/// \file
+/// Calls to the store and their time limits.
+#include "store/StoreClient.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace godwitlift {
+
+std::string_view name(StoreOutcome outcome)
+{
+    switch (outcome) {
+    case StoreOutcome::Done:
+        return "done";
+    case StoreOutcome::Refused:
+        return "refused";
+    case StoreOutcome::HistoryGone:
+        return "history-gone";
+    case StoreOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+std::string_view name(StoreRequest::Kind kind)
+{
+    switch (kind) {
+    case StoreRequest::Kind::List:
+        return "list";
+    case StoreRequest::Kind::Watch:
+        return "watch";
+    case StoreRequest::Kind::Put:
+        return "put";
+    case StoreRequest::Kind::Remove:
+        return "remove";
+    }
+    return "unknown";
+}
+
+namespace {
+
+/// Time for an answer beyond the time that a watch waits. A slow store takes tenths of a second.
+constexpr absl::Duration AnswerTimeout = absl::Milliseconds(1500);
+/// Idle time up to which a connection to the store is used again.
+constexpr absl::Duration IdleLimit = absl::Seconds(3);
+
+} // namespace
+
+class StoreClient::Call final : public BackendExchangeObserver
+{
+public:
+    Call(StoreClient &client, StoreRequest request, Done done)
+        : m_client(client)
+        , m_request(std::move(request))
+        , m_done(std::move(done))
+        , m_timer(client.m_loop.get_executor())
+    {}
+
+    void start(std::list<std::shared_ptr<Call>>::iterator position)
+    {
+        m_position = position;
+        m_connection = m_client.connection();
+        expireAfter(m_timer, m_request.wait + AnswerTimeout);
+        m_timer.async_wait([this, weak = std::weak_ptr<Call>(*position)](
+                                   const boost::system::error_code &error) {
+            if (!error && weak.lock() != nullptr)
+                end(StoreAnswer());
+        });
+        const EncodedRequest encoded = m_client.m_protocol.encodeStoreRequest(m_request);
+        std::string text = absl::StrCat(encoded.method, " ", encoded.target, " HTTP/1.1\r\nHost: ",
+                                        m_client.m_store.address().to_string(), ":",
+                                        m_client.m_store.port(), "\r\n");
+        if (!encoded.body.empty())
+            absl::StrAppend(&text, "Content-Type: application/json\r\nContent-Length: ",
+                            encoded.body.size(), "\r\n");
+        absl::StrAppend(&text, "\r\n", encoded.body);
+        m_connection->run(std::move(text), {}, false, *this);
+    }
+
+    void close() { m_connection->close(); }
+
+    void responseHead(const ResponseHead &head) override { m_status = head.status; }
+    void responseBody(std::string data) override { m_body += data; }
+    void responseComplete() override
+    {
+        if (!m_connection->isClosed())
+            m_client.m_idle = m_connection;
+        end(m_client.m_protocol.decodeStoreAnswer(m_request, m_status, m_body));
+    }
+    void exchangeFailed(Reason, bool wasSent) override
+    {
+        StoreAnswer answer;
+        answer.outcome = wasSent ? StoreOutcome::Unknown : StoreOutcome::Refused;
+        end(answer);
+    }
+
+private:
+    void end(const StoreAnswer &answer)
+    {
+        const std::shared_ptr<Call> self = *m_position;
+        m_client.m_calls.erase(m_position);
+        m_timer.cancel();
+        if (answer.outcome == StoreOutcome::Unknown)
+            m_connection->close();
+        m_client.m_observer(m_request, answer);
+        m_done(answer);
+    }
+
+    StoreClient &m_client;
+    StoreRequest m_request;
+    Done m_done;
+    LoopTimer m_timer;
+    std::list<std::shared_ptr<Call>>::iterator m_position;
+    std::shared_ptr<BackendConnection> m_connection;
+    unsigned m_status = 0;
+    std::string m_body;
+};
+
+StoreClient::StoreClient(asio::io_context &loop, asio::ip::tcp::endpoint store,
+                         const PlatformProtocol &protocol, Observer observer)
+    : m_loop(loop)
+    , m_store(std::move(store))
+    , m_protocol(protocol)
+    , m_observer(std::move(observer))
+{}
+
+StoreClient::~StoreClient()
+{
+    for (const auto &call : m_calls)
+        call->close();
+    if (m_idle != nullptr)
+        m_idle->close();
+}
+
+std::shared_ptr<BackendConnection> StoreClient::connection()
+{
+    const auto idle = std::move(m_idle);
+    m_idle.reset();
+    if (idle != nullptr && idle->isReusable() && steadyNow() - idle->idleSince() < IdleLimit)
+        return idle;
+    if (idle != nullptr)
+        idle->close();
+    return std::make_shared<BackendConnection>(m_loop, m_store, m_protocol.fieldNames());
+}
+
+void StoreClient::call(StoreRequest request, Done done)
+{
+    const auto position =
+            m_calls.insert(m_calls.end(),
+                           std::make_shared<Call>(*this, std::move(request), std::move(done)));
+    (*position)->start(position);
+}
+
+} // namespace godwitlift
--- a/scripts/generate-protocol.sh
+++ b/scripts/generate-protocol.sh
@@ -5,3 +5,4 @@
 out=packages/adapters/generated
 protoc -I packages/adapters/proto --cpp_out="$out" --grpc_out="$out" \
   --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" peer.proto
+protoc -I packages/node/proto --cpp_out=packages/node/generated mesh.proto
