Stop taking requests well before the stop timeout

Cause: a stopping node took requests until the stop timeout and cut those in progress at its end; clients keep coming while their zone has too few ready nodes. Change: after 2.8 s the node takes no new requests and finishes what it has.

--- a/packages/node/src/http/HttpServer.cpp
+++ b/packages/node/src/http/HttpServer.cpp
@@ -8,6 +8,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace godwitlift {
@@ -176,12 +177,10 @@
         connection->sweep(now);
 }
 
-std::size_t HttpServer::openExchanges() const
+bool HttpServer::hasUnsent() const
 {
-    std::size_t sum = 0;
-    for (const auto &connection : m_connections)
-        sum += connection->exchangeCount();
-    return sum;
+    return std::any_of(m_connections.begin(), m_connections.end(),
+                       [](const auto &connection) { return connection->hasUnsent(); });
 }
 
 } // namespace godwitlift
--- a/packages/node/src/http/HttpServer.h
+++ b/packages/node/src/http/HttpServer.h
@@ -109,8 +109,8 @@
     /// Closes connections that were idle or half read for too long. Call it about once a second.
     void sweep();
     std::size_t connectionCount() const { return m_connections.size(); }
-    /// Requests that await the end of their answer.
-    std::size_t openExchanges() const;
+    /// True if an answer, or a part of one, is still to be sent.
+    bool hasUnsent() const;
 
 private:
     friend class ServerConnection;
--- a/packages/node/src/http/ServerConnection.h
+++ b/packages/node/src/http/ServerConnection.h
@@ -23,7 +23,7 @@
     void closeWhenAnswered();
     bool isIdle() const { return m_exchanges.empty() && m_input.empty() && m_out.empty(); }
     absl::Time lastUse() const { return m_lastUse; }
-    std::size_t exchangeCount() const { return m_exchanges.size(); }
+    bool hasUnsent() const { return !m_exchanges.empty() || !m_out.empty() || !m_pending.empty(); }
     /// Closes the connection if it has been idle or half read for too long.
     void sweep(absl::Time now);
     /// The exchange has more to send, has ended or was aborted.
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -236,12 +236,10 @@
                           [](const auto &entry) { return entry.second->isUp(); }));
 }
 
-std::size_t PeerMesh::openAttempts() const
+bool PeerMesh::hasUnsent() const
 {
-    std::size_t sum = 0;
-    for (const auto &[key, session] : m_sessions)
-        sum += session->openAttempts();
-    return sum;
+    return std::any_of(m_sessions.begin(), m_sessions.end(),
+                       [](const auto &entry) { return entry.second->hasUnsent(); });
 }
 
 void PeerMesh::tick()
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -55,7 +55,8 @@
     void rememberDrain(const DrainRecord &record, std::function<void()> done);
     /// Tells peers that this node stops. Removes its row if \p isForGood.
     void beginLeaving(bool isForGood);
-    std::size_t openAttempts() const;
+    /// True if a peer is still to be sent an answer.
+    bool hasUnsent() const;
 
     AttemptGateway *gatewayTo(const HostId &host) override;
     std::size_t nodeCount() const override { return m_links.size() + 1; }
--- a/packages/node/src/peers/PeerSession.h
+++ b/packages/node/src/peers/PeerSession.h
@@ -40,7 +40,7 @@
     absl::Time heard() const { return m_channel->heard(); }
     const HostId &peer() const { return m_peer; }
     void setPeer(HostId peer) { m_peer = std::move(peer); }
-    std::size_t openAttempts() const { return m_attempts.size(); }
+    bool hasUnsent() const { return !m_attempts.empty() || m_channel->unsentBytes() > 0; }
 
     void answerHead(AttemptId id, AnswerHead head) override;
     void answerBody(AttemptId id, std::string data) override;
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -28,12 +28,11 @@
 constexpr absl::Duration SweepPause = absl::Seconds(1);
 /// Descriptors kept for files, links, the store and the backend server.
 constexpr std::size_t ReservedDescriptors = 600;
-/// After SIGTERM the node goes on serving until clients have been led away by its readiness.
-constexpr absl::Duration LeaveNotice = absl::Milliseconds(2600);
-/// Time without a request after which a leaving node counts as idle.
-constexpr absl::Duration QuietTime = absl::Milliseconds(300);
+/// After SIGTERM the node takes requests until its readiness has led the clients away: the
+/// platform asks once a second, and two refusals in a row count.
+constexpr absl::Duration LeaveNotice = absl::Milliseconds(2800);
 /// Part of the stop timeout that is kept for closing.
-constexpr absl::Duration StopMargin = absl::Milliseconds(500);
+constexpr absl::Duration StopMargin = absl::Milliseconds(150);
 
 /// Answers the platform's question whether clients may come.
 class ReadinessService final : public HttpHandler
@@ -328,7 +327,6 @@
             return;
         m_isLeaving = true;
         m_leavingSince = steadyNow();
-        m_lastBusy = m_leavingSince;
         m_log.write("stopping", LogLine("stopping").add("open_calls", m_ingress.callCount()),
                     steadyNow());
         m_readiness.setReady(false);
@@ -337,17 +335,20 @@
         m_mesh.beginLeaving(m_server.lifecycle().state() != ServerState::Ready);
     }
 
+    /// First requests are still taken, then only those in progress are finished.
     void leaveIfDone(absl::Time now)
     {
-        const bool isBusy = m_ingress.callCount() > 0 || m_server.runningCount() > 0
-                            || m_clientServer.openExchanges() > 0;
-        if (isBusy)
-            m_lastBusy = now;
         const absl::Duration since = now - m_leavingSince;
-        const bool isQuiet = since >= LeaveNotice && now - m_lastBusy >= QuietTime;
-        if (!isQuiet && since < m_settings.stopTimeout - StopMargin)
+        if (since < LeaveNotice)
+            return;
+        if (!m_hasStoppedAccepting) {
+            m_hasStoppedAccepting = true;
+            m_clientServer.stopAccepting();
+        }
+        const bool isBusy = m_ingress.callCount() > 0 || m_server.runningCount() > 0
+                            || m_clientServer.hasUnsent() || m_mesh.hasUnsent();
+        if (isBusy && since < m_settings.stopTimeout - StopMargin)
             return;
-        m_clientServer.stopAccepting();
         m_loop.stop();
     }
 
@@ -378,7 +379,7 @@
     absl::Time m_lastSweep = absl::InfinitePast();
     bool m_isLeaving = false;
     absl::Time m_leavingSince;
-    absl::Time m_lastBusy;
+    bool m_hasStoppedAccepting = false;
 };
 
 } // namespace
