--- /dev/null
+++ b/tests/traffic/RouteCatalogueTests.cpp
@@ -0,0 +1,68 @@
+/// \file
+/// Longest-prefix routing by host name.
+#include "godwitlift/traffic/RouteCatalogue.h"
+#include "godwitlift/traffic/TrafficSplit.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace godwitlift;
+
+namespace {
+
+TrafficRoute route(const std::string &id, const std::string &hostName, const std::string &prefix)
+{
+    TrafficRoute route;
+    route.id = RouteId(id);
+    route.hostName = hostName;
+    route.prefix = prefix;
+    route.destinations = { { ServiceId("desk"), 1 } };
+    return route;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the same host name wins")
+{
+    const auto catalogue = RouteCatalogue::create(
+            Version(3),
+            { route("root", "a.example", "/"), route("desk", "a.example", "/desk/"),
+              route("deep", "a.example", "/desk/slots/"), route("other", "b.example", "/desk/") },
+            {}, {});
+    const auto idOf = [&](const char *hostName, const char *path) {
+        const TrafficRoute *found = catalogue->route(hostName, path);
+        return found == nullptr ? std::string("none") : found->id.value();
+    };
+    CHECK(idOf("a.example", "/desk/slots/7") == "deep");
+    CHECK(idOf("a.example", "/desk/slots") == "desk");
+    CHECK(idOf("a.example", "/deskside") == "root");
+    CHECK(idOf("a.example", "/elsewhere?next=/desk/slots/") == "root");
+    CHECK(idOf("b.example", "/desk/x") == "other");
+    CHECK(idOf("b.example", "/") == "none");
+    CHECK(idOf("c.example", "/desk/") == "none");
+}
+
+TEST_CASE("a split follows its weights in every run of requests")
+{
+    TrafficRoute split = route("split", "a.example", "/");
+    split.destinations = { { ServiceId("desk"), 90 }, { ServiceId("ledger"), 10 } };
+    TrafficSplit chooser;
+    std::map<std::string, int> counts;
+    for (int i = 1; i <= 200; ++i) {
+        ++counts[chooser.next(split).value()];
+        CHECK(std::abs(counts["ledger"] - i * 0.1) <= 1);
+    }
+    CHECK(counts["ledger"] == 20);
+}
+
+TEST_CASE("a changed split starts afresh")
+{
+    TrafficRoute split = route("split", "a.example", "/");
+    split.destinations = { { ServiceId("desk"), 1 }, { ServiceId("ledger"), 1 } };
+    TrafficSplit chooser;
+    chooser.next(split);
+    split.destinations = { { ServiceId("desk"), 0 }, { ServiceId("ledger"), 1 } };
+    for (int i = 0; i < 10; ++i)
+        CHECK(chooser.next(split) == ServiceId("ledger"));
+}
