--- a/packages/decisions/include/godwitlift/serving/SlotLimit.h
+++ b/packages/decisions/include/godwitlift/serving/SlotLimit.h
@@ -17,7 +17,10 @@
 public:
     static constexpr absl::Duration ReactionTime = absl::Milliseconds(200);
 
-    SlotLimit(std::uint32_t slots, absl::Time started, absl::Duration slowStart);
+    /// \p leastShare is the part of the slots that shedding never takes away. A backend server
+    /// that states its slots exactly sheds for another reason than their number.
+    SlotLimit(std::uint32_t slots, absl::Time started, absl::Duration slowStart,
+              double leastShare = 0);
 
     void update(std::uint32_t slots, absl::Time started, absl::Duration slowStart);
     /// At least 1.
@@ -26,6 +29,7 @@
     void shed(std::uint32_t inUse, absl::Time now);
 
 private:
+    double m_leastShare;
     std::uint32_t m_slots;
     absl::Time m_started;
     absl::Duration m_slowStart;
--- a/packages/decisions/src/serving/SlotLimit.cpp
+++ b/packages/decisions/src/serving/SlotLimit.cpp
@@ -14,8 +14,10 @@
 
 } // namespace
 
-SlotLimit::SlotLimit(std::uint32_t slots, absl::Time started, absl::Duration slowStart)
-    : m_slots(slots)
+SlotLimit::SlotLimit(std::uint32_t slots, absl::Time started, absl::Duration slowStart,
+                     double leastShare)
+    : m_leastShare(leastShare)
+    , m_slots(slots)
     , m_started(started)
     , m_slowStart(slowStart)
     , m_learnt(slots)
@@ -51,7 +53,8 @@
     if (now - m_lowered < ReactionTime)
         return;
     m_lowered = now;
-    m_learnt = std::max(1.0, std::min<double>(inUse, m_learnt) * Decrease);
+    const double least = std::max(1.0, m_slots * m_leastShare);
+    m_learnt = std::max(least, std::min<double>(inUse, m_learnt) * Decrease);
 }
 
 } // namespace godwitlift
--- a/tests/unit/GateTests.cpp
+++ b/tests/unit/GateTests.cpp
@@ -150,6 +150,15 @@
     CHECK(gate.finished(AttemptId(1), RunEnd::Answered, Start).starts.empty());
 }
 
+TEST_CASE("Random shedding does not take the slots away")
+{
+    SlotLimit limit(20, Start - absl::Hours(1), absl::ZeroDuration(), 0.8);
+    absl::Time now = Start;
+    for (int i = 0; i < 50; ++i, now += absl::Milliseconds(250))
+        limit.shed(limit.current(now) / 2, now);
+    CHECK(limit.current(now) >= 16);
+}
+
 TEST_CASE("The slot limit follows warm-up and shedding")
 {
     SlotLimit limit(20, Start, absl::Seconds(10));
