Remove the row of a host whose address this host has taken

Cause: rows of crashed hosts stay, and their address may belong to another host. Change: a node that finds its own address under another name removes that row. Conclusion: membership does not count one backend server twice.

--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -156,6 +156,8 @@
         }
         if (host->host == m_options.self.host)
             isOwnRowThere = *host == m_options.self;
+        else if (host->address == m_options.self.address)
+            removeRow(host->host); // This host has taken the place of that one.
         else
             learn(*host);
     }
@@ -517,12 +519,19 @@
     m_isLeaving = true;
     m_registration.cancel();
     broadcastGate();
-    if (!isForGood)
-        return;
+    if (isForGood)
+        removeRow(m_options.self.host);
+}
+
+void PeerMesh::removeRow(const HostId &host)
+{
+    m_log.write("host-row-removed", LogLine("host-row-removed").add("host", host.value()),
+                steadyNow());
     StoreRequest request;
     request.kind = StoreRequest::Kind::Remove;
     request.table = HostTable;
-    request.key = m_options.self.host.value();
+    request.key = host.value();
+    // A row that stays costs later readers one failed connection; it is not tried again.
     m_store.call(std::move(request), [](const StoreAnswer &) {});
 }
 
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -81,6 +81,7 @@
     void listHosts(const std::string &from);
     void listed(const StoreAnswer &answer);
     void retryRegistration();
+    void removeRow(const HostId &host);
     void learn(const PeerHost &host);
     void forget(const HostId &host, std::string_view cause);
     void broadcastGate();
