Admit at the gate what can be answered within its objective

Change: a discipline in which requests that can still meet their objective come first by urgency and are refused at once if they no longer can; late ones take what is left. Compared with strict rank by deadline in tests/traffic/SustainedOverloadTests.cpp.

--- a/packages/decisions/include/godwitlift/serving/Gate.h
+++ b/packages/decisions/include/godwitlift/serving/Gate.h
@@ -22,6 +22,7 @@
     RankId rank;
     CallerId caller;
     absl::Time deadline;
+    absl::Time objective = absl::InfiniteFuture(); ///< An answer after it is worth little.
 };
 
 /// Load as the gate itself counts it; travels back with every answer.
@@ -62,7 +63,8 @@
     Ranked,     ///< Urgent first, floors for the others, ceilings, headroom.
     FirstCome,  ///< One queue for all; kept for comparison.
     StrictRank, ///< Urgent first without floors or ceilings; kept for comparison.
-    FixedShares ///< Each rank only within its floor's share; kept for comparison.
+    FixedShares, ///< Each rank only within its floor's share; kept for comparison.
+    InTimeFirst  ///< Urgent first; what can no longer meet its objective comes after all that can.
 };
 
 /// Admission to one backend server. Not thread-safe.
@@ -114,6 +116,11 @@
     };
 
     std::size_t laneOf(const RankId &rank) const;
+    /// Lane for a request of \p lane that can no longer meet its objective.
+    std::size_t lateLane(std::size_t lane) const;
+    GateStep arriveInTimeFirst(const GateCall &call, absl::Time now);
+    /// Wait behind everything that comes first, if all slots are taken.
+    absl::Duration queueWait(std::size_t lane, std::uint32_t limit) const;
     std::uint32_t floorSlots(const Lane &lane, std::uint32_t limit) const;
     std::uint32_t ceilingSlots(const Lane &lane, std::uint32_t limit) const;
     std::uint32_t headroom(std::size_t lane, std::uint32_t limit) const;
@@ -128,7 +135,8 @@
 
     SlotLimit m_limit;
     GateDiscipline m_discipline;
-    std::vector<Lane> m_lanes; ///< Most urgent first; never empty.
+    /// Most urgent first; never empty. InTimeFirst: all ranks in time, then all ranks late.
+    std::vector<Lane> m_lanes;
     std::map<RankId, std::size_t> m_laneByRank;
     std::map<AttemptId, Running> m_running;
     std::uint32_t m_inUse = 0; ///< Equals m_running.size().
--- a/packages/decisions/src/serving/Gate.cpp
+++ b/packages/decisions/src/serving/Gate.cpp
@@ -43,12 +43,16 @@
         ordered.emplace_back();
     std::sort(ordered.begin(), ordered.end(),
               [](const Rank &a, const Rank &b) { return a.urgency < b.urgency; });
-    std::vector<Lane> lanes(ordered.size());
     std::map<RankId, std::size_t> byRank;
-    for (std::size_t i = 0; i < ordered.size(); ++i) {
-        lanes[i].policy = ordered[i];
+    for (std::size_t i = 0; i < ordered.size(); ++i)
         byRank[ordered[i].id] = i;
+    if (m_discipline == GateDiscipline::InTimeFirst) {
+        const std::vector<Rank> late = ordered;
+        ordered.insert(ordered.end(), late.begin(), late.end());
     }
+    std::vector<Lane> lanes(ordered.size());
+    for (std::size_t i = 0; i < ordered.size(); ++i)
+        lanes[i].policy = ordered[i];
     // Requests of a rank that is gone move to the least urgent one.
     std::vector<std::size_t> moved(m_lanes.size());
     for (std::size_t i = 0; i < m_lanes.size(); ++i) {
@@ -74,14 +78,15 @@
 
 std::uint32_t Gate::floorSlots(const Lane &lane, std::uint32_t limit) const
 {
-    if (m_discipline == GateDiscipline::StrictRank)
+    if (m_discipline == GateDiscipline::StrictRank || m_discipline == GateDiscipline::InTimeFirst)
         return 0;
     return shareOf(lane.policy.floorShare, limit);
 }
 
 std::uint32_t Gate::ceilingSlots(const Lane &lane, std::uint32_t limit) const
 {
-    if (m_discipline == GateDiscipline::StrictRank || m_discipline == GateDiscipline::FirstCome)
+    if (m_discipline == GateDiscipline::StrictRank || m_discipline == GateDiscipline::FirstCome
+        || m_discipline == GateDiscipline::InTimeFirst)
         return limit;
     if (m_discipline == GateDiscipline::FixedShares)
         return std::max<std::uint32_t>(1, shareOf(lane.policy.floorShare, limit));
@@ -184,6 +189,8 @@
         step.refusals.push_back({ call.attempt, Reason::Draining, absl::ZeroDuration() });
         return step;
     }
+    if (m_discipline == GateDiscipline::InTimeFirst)
+        return arriveInTimeFirst(call, now);
     refuseHopeless(now, step);
     const std::size_t lane = m_discipline == GateDiscipline::FirstCome ? 0 : laneOf(call.rank);
     const std::uint32_t limit = m_limit.current(now);
@@ -216,6 +223,56 @@
     return step;
 }
 
+std::size_t Gate::lateLane(std::size_t lane) const
+{
+    const std::size_t ranks = m_lanes.size() / 2;
+    return lane < ranks ? lane + ranks : lane;
+}
+
+absl::Duration Gate::queueWait(std::size_t lane, std::uint32_t limit) const
+{
+    double seconds = 0;
+    for (std::size_t i = 0; i <= lane; ++i)
+        seconds += static_cast<double>(m_lanes[i].queue.size()) * m_lanes[i].meanSeconds;
+    for (const Lane &other : m_lanes)
+        seconds += m_inUse == 0 ? 0 : other.meanSeconds * other.inUse / m_inUse;
+    return absl::Seconds(seconds / std::max(limit, 1U));
+}
+
+GateStep Gate::arriveInTimeFirst(const GateCall &call, absl::Time now)
+{
+    GateStep step;
+    refuseHopeless(now, step);
+    std::size_t lane = laneOf(call.rank);
+    const absl::Duration service = expectedService(lane);
+    const bool isInTime = now + service <= call.objective;
+    if (!isInTime)
+        lane = lateLane(lane);
+    const absl::Time due = isInTime ? std::min(call.objective, call.deadline) : call.deadline;
+    const std::uint32_t limit = m_limit.current(now);
+    const bool mayStartNow = m_inUse < limit && m_lanes[lane].queue.isEmpty();
+    const absl::Duration wait = mayStartNow ? absl::ZeroDuration() : queueWait(lane, limit);
+    // A late request is not kept waiting for long: slots that are taken go to those in time.
+    const absl::Time latestStart = isInTime ? due - service : std::min(due - service,
+                                                                       now + service);
+    if (now + wait > latestStart) {
+        step.refusals.push_back({ call.attempt, Reason::DeadlineUnmeetable, wait });
+        return step;
+    }
+    if (mayStartNow) {
+        start(lane, call.attempt, now, step);
+        return step;
+    }
+    auto pushed = m_lanes[lane].queue.push({ call.attempt, call.caller, now, due },
+                                           m_lanes[lane].policy.queueLimit);
+    if (!pushed.queued)
+        step.refusals.push_back({ call.attempt, Reason::QueueFull, wait });
+    if (pushed.displaced)
+        step.refusals.push_back({ pushed.displaced->attempt, Reason::Displaced, wait });
+    startWaiting(now, step);
+    return step;
+}
+
 GateStep Gate::finished(AttemptId attempt, RunEnd end, absl::Time now)
 {
     GateStep step;
@@ -228,6 +285,12 @@
         lane.meanSeconds = lane.meanSeconds == 0
                                    ? seconds
                                    : lane.meanSeconds + MeanWeight * (seconds - lane.meanSeconds);
+        if (m_discipline == GateDiscipline::InTimeFirst) {
+            // In time or late, the work of a rank is the same.
+            const std::size_t ranks = m_lanes.size() / 2;
+            const std::size_t index = it->second.lane;
+            m_lanes[index < ranks ? index + ranks : index - ranks].meanSeconds = lane.meanSeconds;
+        }
         m_limit.answered();
     } else if (end == RunEnd::Shed) {
         m_limit.shed(m_inUse, now);
--- a/packages/node/src/gate/LocalServer.cpp
+++ b/packages/node/src/gate/LocalServer.cpp
@@ -204,8 +204,7 @@
     : m_loop(loop)
     , m_options(std::move(options))
     , m_listener(listener)
-    , m_gate(limitOf(UnknownSlots), ranksOf(LeastUrgency), GateDiscipline::StrictRank)
-    , m_ranks(ranksOf(LeastUrgency))
+    , m_gate(limitOf(UnknownSlots), ranksOf(LeastUrgency), GateDiscipline::InTimeFirst)
 {}
 
 LocalServer::~LocalServer()
@@ -253,6 +252,7 @@
     call.attempt = id;
     call.rank = rankOf(std::clamp(order.urgency, 0, LeastUrgency));
     call.deadline = order.deadline;
+    call.objective = order.objective;
     const bool isOtherService = order.service != m_options.service;
     m_runs[id] = std::make_shared<GateRun>(*this, std::move(order), std::move(observer));
     if (isOtherService || m_lifecycle.state() == ServerState::Absent) {
@@ -370,7 +370,7 @@
     run->grant(bytes);
 }
 
-void LocalServer::rebuildGate()
+void LocalServer::updateSlots()
 {
     m_gate.limit().update(std::max(m_lifecycle.slots(), UnknownSlots), absl::InfinitePast(),
                           absl::ZeroDuration());
@@ -380,10 +380,10 @@
 {
     if (change == LifecycleChange::None || change == LifecycleChange::Stale) {
         if (change == LifecycleChange::None)
-            rebuildGate();
+            updateSlots();
         return;
     }
-    rebuildGate();
+    updateSlots();
     m_listener.serverStateChanged(cause);
     if (m_lifecycle.state() == ServerState::Ready)
         m_gate.reopen();
--- a/packages/node/src/gate/LocalServer.h
+++ b/packages/node/src/gate/LocalServer.h
@@ -80,7 +80,7 @@
     void runEnded(GateRun &run, RunEnd end);
     void applyChange(LifecycleChange change, std::string_view cause);
     void serverLost(std::string_view cause);
-    void rebuildGate();
+    void updateSlots();
     std::shared_ptr<BackendConnection> connectionFor(const AttemptOrder &order);
     void release(const std::shared_ptr<BackendConnection> &connection);
     std::string requestText(const AttemptOrder &order) const;
@@ -91,7 +91,6 @@
     std::shared_ptr<const RouteCatalogue> m_catalogue;
     ServerLifecycle m_lifecycle;
     Gate m_gate;
-    std::map<RankId, Rank> m_ranks;
     absl::flat_hash_map<AttemptId, std::shared_ptr<GateRun>> m_runs; ///< Waiting and running.
     std::vector<std::shared_ptr<BackendConnection>> m_idle; ///< The last used one last.
     std::shared_ptr<Probe> m_probe;
--- /dev/null
+++ b/tests/traffic/SustainedOverloadTests.cpp
@@ -0,0 +1,176 @@
+/// \file
+/// Sustained overload at one gate: demand beyond capacity for seconds, in virtual time.
+#include "godwitlift/base/RandomSource.h"
+#include "godwitlift/serving/Gate.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <queue>
+
+using namespace godwitlift;
+
+namespace {
+
+const absl::Time Start = absl::UnixEpoch() + absl::Hours(1);
+constexpr std::uint32_t Slots = 10;
+constexpr absl::Duration Work = absl::Milliseconds(100);
+constexpr absl::Duration Objective = absl::Milliseconds(400);
+constexpr absl::Duration Deadline = absl::Milliseconds(1500);
+constexpr absl::Duration Length = absl::Seconds(10);
+
+std::map<RankId, Rank> ranks()
+{
+    Rank urgent;
+    urgent.id = RankId("urgent");
+    urgent.queueLimit = 500;
+    Rank other = urgent;
+    other.id = RankId("other");
+    other.urgency = 1;
+    return { { urgent.id, urgent }, { other.id, other } };
+}
+
+/// What became of the requests of one rank.
+struct Tally
+{
+    int offered = 0;
+    int inTime = 0;
+    int late = 0;
+    int refused = 0;
+    absl::Duration longestHeld; ///< From arrival to refusal.
+};
+
+/// Offers requests at a fixed rate for each rank and runs them through one gate.
+class Overload
+{
+public:
+    explicit Overload(GateDiscipline discipline)
+        : m_gate(SlotLimit(Slots, Start - absl::Hours(1), absl::ZeroDuration()), ranks(),
+                 discipline)
+    {}
+
+    void run(double urgentPerSecond, double otherPerSecond)
+    {
+        SeededRandom random(5);
+        for (absl::Time now = Start; now < Start + Length; now += absl::Milliseconds(1)) {
+            while (!m_ends.empty() && m_ends.top().first <= now) {
+                const AttemptId attempt = m_ends.top().second;
+                m_ends.pop();
+                answered(attempt, now);
+                apply(m_gate.finished(attempt, RunEnd::Answered, now), now);
+            }
+            if (random.unit() < urgentPerSecond / 1000)
+                offer("urgent", now);
+            if (random.unit() < otherPerSecond / 1000)
+                offer("other", now);
+            apply(m_gate.tick(now), now);
+        }
+    }
+
+    std::map<std::string, Tally> tallies;
+
+private:
+    struct Request
+    {
+        std::string rank;
+        absl::Time arrived;
+    };
+
+    void offer(const char *rank, absl::Time now)
+    {
+        const AttemptId attempt(++m_last);
+        m_requests[attempt] = { rank, now };
+        ++tallies[rank].offered;
+        GateCall call;
+        call.attempt = attempt;
+        call.rank = RankId(rank);
+        call.deadline = now + Deadline;
+        call.objective = now + Objective;
+        apply(m_gate.arrive(call, now), now);
+    }
+    void apply(const GateStep &step, absl::Time now)
+    {
+        for (const AttemptId attempt : step.starts)
+            m_ends.emplace(now + Work, attempt);
+        for (const GateRefusal &refusal : step.refusals) {
+            const Request &request = m_requests.at(refusal.attempt);
+            Tally &tally = tallies[request.rank];
+            ++tally.refused;
+            tally.longestHeld = std::max(tally.longestHeld, now - request.arrived);
+        }
+    }
+    void answered(AttemptId attempt, absl::Time now)
+    {
+        const Request &request = m_requests.at(attempt);
+        Tally &tally = tallies[request.rank];
+        ++(now <= request.arrived + Objective ? tally.inTime : tally.late);
+    }
+
+    using End = std::pair<absl::Time, AttemptId>;
+
+    Gate m_gate;
+    std::uint64_t m_last = 0;
+    std::map<AttemptId, Request> m_requests;
+    std::priority_queue<End, std::vector<End>, std::greater<>> m_ends;
+};
+
+/// Requests that the slots can run within the whole length.
+constexpr double Capacity = Slots * 10.0 * 10.0;
+
+} // namespace
+
+TEST_CASE("sustained overload: what is admitted is answered in time")
+{
+    Overload queue(GateDiscipline::InTimeFirst);
+    queue.run(200, 0);
+    const Tally &tally = queue.tallies["urgent"];
+    CHECK(tally.inTime >= 0.9 * Capacity);
+    CHECK(tally.late <= 0.05 * Capacity);
+    // Refused well before the objective, so that there is time to go elsewhere.
+    CHECK(tally.longestHeld < Objective);
+
+    // A queue that is bounded by the deadline alone answers nearly everything late.
+    Overload byDeadline(GateDiscipline::StrictRank);
+    byDeadline.run(200, 0);
+    CHECK(byDeadline.tallies["urgent"].inTime < 0.5 * Capacity);
+}
+
+TEST_CASE("flood of lesser work: the urgent rank is served as if alone")
+{
+    Overload overload(GateDiscipline::InTimeFirst);
+    overload.run(60, 200);
+    const Tally &urgent = overload.tallies["urgent"];
+    CHECK(urgent.inTime >= 0.99 * urgent.offered - Slots);
+    const Tally &other = overload.tallies["other"];
+    CHECK(other.inTime + other.late >= 0.3 * Capacity);
+}
+
+TEST_CASE("returning callers: late requests take only what those in time leave")
+{
+    Gate gate(SlotLimit(2, Start - absl::Hours(1), absl::ZeroDuration()), ranks(),
+              GateDiscipline::InTimeFirst);
+    const auto call = [](std::uint64_t id, const char *rank, absl::Duration objective) {
+        GateCall result;
+        result.attempt = AttemptId(id);
+        result.rank = RankId(rank);
+        result.deadline = Start + Deadline;
+        result.objective = Start + objective;
+        return result;
+    };
+    // Two requests fill the slots and teach the gate how long work takes.
+    REQUIRE(gate.arrive(call(1, "urgent", Objective), Start).starts.size() == 1);
+    REQUIRE(gate.arrive(call(2, "other", Objective), Start).starts.size() == 1);
+    absl::Time now = Start + Work;
+    gate.finished(AttemptId(1), RunEnd::Answered, now);
+    gate.finished(AttemptId(2), RunEnd::Answered, now);
+    REQUIRE(gate.arrive(call(3, "urgent", Objective), now).starts.size() == 1);
+    REQUIRE(gate.arrive(call(4, "urgent", Objective), now).starts.size() == 1);
+    const GateStep late = gate.arrive(call(5, "urgent", Work), now);
+    CHECK(late.starts.empty());
+    CHECK(late.refusals.empty());
+    CHECK(gate.arrive(call(6, "other", Objective), now).refusals.empty());
+    now += absl::Milliseconds(50);
+    const GateStep next = gate.finished(AttemptId(3), RunEnd::Answered, now);
+    REQUIRE(next.starts.size() == 1);
+    CHECK(next.starts.front() == AttemptId(6));
+}
