Let the backend server of a stopping node work on until the node is left

Change: the gate closes when the node stops taking requests, 2.3 s after SIGTERM: two missed readiness checks and a margin.

--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -30,7 +30,7 @@
 constexpr std::size_t ReservedDescriptors = 600;
 /// After SIGTERM the node takes requests until its readiness has led the clients away: the
 /// platform asks once a second, and two refusals in a row count.
-constexpr absl::Duration LeaveNotice = absl::Milliseconds(2800);
+constexpr absl::Duration LeaveNotice = absl::Milliseconds(2300);
 /// Part of the stop timeout that is kept for closing.
 constexpr absl::Duration StopMargin = absl::Milliseconds(150);
 
@@ -332,7 +332,6 @@
                     steadyNow());
         m_readiness.setReady(false);
         m_clientServer.beginClosing();
-        m_server.beginLeaving();
         m_mesh.beginLeaving(m_server.lifecycle().state() != ServerState::Ready);
     }
 
@@ -345,6 +344,8 @@
         if (!m_hasStoppedAccepting) {
             m_hasStoppedAccepting = true;
             m_clientServer.stopAccepting();
+            // Until here the backend server went on with the work of other hosts.
+            m_server.beginLeaving();
         }
         const bool isBusy = m_ingress.callCount() > 0 || m_server.runningCount() > 0
                             || m_clientServer.hasUnsent() || m_mesh.hasUnsent();
