Let held-up requests expire on their way

Change: requests carry the sender's suspend-aware clock; the gate takes the time on the way off their deadline. A link that is given up is reset, so that what is unsent does not arrive later. A connection is read to its end before its requests are worked on, so that a client that has left is seen first. A length such as '3, 3' is refused.

--- a/packages/node/src/http/MessageParser.cpp
+++ b/packages/node/src/http/MessageParser.cpp
@@ -134,6 +134,9 @@
     const std::size_t codings = fields.count("transfer-encoding");
     if (lengths + codings > 1 || fields.count("host") != 1)
         return false;
+    const auto length = fields.find("content-length");
+    if (length && length->find_first_not_of("0123456789") != std::string_view::npos)
+        return false;
     const auto coding = fields.find("transfer-encoding");
     return !coding || equalsIgnoringCase(*coding, "chunked");
 }
@@ -177,7 +180,8 @@
         const ParseState state = parseHead(input);
         if (state != ParseState::HeadComplete)
             return state;
-        if (!m_parser->parser.is_done() && m_parser->parser.content_length().value_or(0) > m_bodyLimit)
+        if (!m_parser->parser.is_done()
+            && m_parser->parser.content_length().value_or(0) > m_bodyLimit)
             return ParseState::BodyTooLarge;
     }
     const ParseState state = putBody(m_parser->parser, input);
@@ -218,8 +222,7 @@
             const std::size_t size = std::min(input.size(), expected.size());
             if (input.compare(0, size, expected, 0, size) != 0)
                 return ParseState::Malformed;
-            return input.size() > ResponseHeadLimit ? ParseState::Malformed
-                                                    : ParseState::NeedsMore;
+            return input.size() > ResponseHeadLimit ? ParseState::Malformed : ParseState::NeedsMore;
         }
         std::string block = input.substr(0, end + 4);
         const auto error = putOnce(m_parser->parser, block);
--- a/packages/node/src/http/Network.cpp
+++ b/packages/node/src/http/Network.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <ctime>
 
 namespace godwitlift {
 
@@ -35,8 +36,21 @@
 {
     const auto since = std::chrono::steady_clock::now().time_since_epoch();
     return absl::UnixEpoch()
-           + absl::Nanoseconds(
-                   std::chrono::duration_cast<std::chrono::nanoseconds>(since).count());
+           + absl::Nanoseconds(std::chrono::duration_cast<std::chrono::nanoseconds>(since).count());
+}
+
+absl::Duration suspendAwareClock()
+{
+    timespec now{};
+    (void)::clock_gettime(CLOCK_BOOTTIME, &now); // Cannot fail for a clock that the system has.
+    return absl::DurationFromTimespec(now);
+}
+
+void closeAbruptly(TcpSocket &socket)
+{
+    setOption(socket, SOL_SOCKET, SO_LINGER, linger{ 1, 0 });
+    boost::system::error_code ignored; // The connection is given up either way.
+    socket.close(ignored);
 }
 
 std::optional<asio::ip::tcp::endpoint> parseEndpoint(const std::string &text)
--- a/packages/node/src/http/ServerConnection.cpp
+++ b/packages/node/src/http/ServerConnection.cpp
@@ -83,21 +83,26 @@
                         });
 }
 
-bool ServerConnection::readOnce()
+bool ServerConnection::readAvailable()
 {
-    boost::system::error_code error;
-    const std::size_t size = m_socket.read_some(
-            asio::buffer(ReadScratch::data(), ReadScratch::Size), error);
-    if (error == asio::error::would_block || error == asio::error::try_again)
-        return true;
-    if (error) {
-        close();
-        return false;
+    // Reading on to the end shows whether the client has left already, as after a pause of this
+    // process; its requests are then not worked on.
+    for (std::size_t total = 0; total < ReadAheadLimit;) {
+        boost::system::error_code error;
+        const std::size_t size =
+                m_socket.read_some(asio::buffer(ReadScratch::data(), ReadScratch::Size), error);
+        if (error == asio::error::would_block || error == asio::error::try_again)
+            break;
+        if (error) {
+            close();
+            return false;
+        }
+        total += size;
+        if (!m_isLingering)
+            m_lastUse = steadyNow();
+        if (!m_isReadEnded)
+            m_input.append(ReadScratch::data(), size);
     }
-    if (!m_isLingering)
-        m_lastUse = steadyNow();
-    if (!m_isReadEnded)
-        m_input.append(ReadScratch::data(), size);
     return true;
 }
 
@@ -109,7 +114,7 @@
         close();
         return;
     }
-    if (!readOnce())
+    if (!readAvailable())
         return;
     parseInput();
     if (m_input.size() < ReadAheadLimit || m_parser != nullptr)
--- a/packages/node/src/http/ServerConnection.h
+++ b/packages/node/src/http/ServerConnection.h
@@ -40,7 +40,8 @@
 
     void waitReadable();
     void onReadable(const boost::system::error_code &error);
-    bool readOnce();
+    /// False if the connection is closed.
+    bool readAvailable();
     void parseInput();
     void requestComplete();
     void reject(unsigned status);
@@ -54,8 +55,8 @@
     std::unique_ptr<RequestParser> m_parser; ///< Null between requests.
     std::string m_input;
     std::deque<std::shared_ptr<Exchange>> m_exchanges;
-    std::string m_out;     ///< Being written while m_isWriting.
-    std::string m_pending; ///< Follows m_out.
+    std::string m_out;                  ///< Being written while m_isWriting.
+    std::string m_pending;              ///< Follows m_out.
     std::weak_ptr<Exchange> m_draining; ///< Whose body bytes are in m_out.
     std::size_t m_drainingBytes = 0;
     bool m_isWriting = false;
--- a/packages/node/src/peers/FrameChannel.cpp
+++ b/packages/node/src/peers/FrameChannel.cpp
@@ -52,6 +52,15 @@
     m_socket.close(ignored);
 }
 
+void FrameChannel::abandon()
+{
+    m_observer = nullptr;
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    closeAbruptly(m_socket);
+}
+
 void FrameChannel::fail(std::string_view cause)
 {
     FrameObserver *observer = m_observer;
@@ -100,18 +109,18 @@
         return;
     }
     m_isWriting = true;
-    asio::async_write(m_socket, asio::buffer(m_out.data() + sent, m_out.size() - sent),
-                      [self = shared_from_this()](const boost::system::error_code &failed,
-                                                  std::size_t) {
-                          self->m_isWriting = false;
-                          std::string().swap(self->m_out);
-                          if (self->m_isClosed)
-                              return;
-                          if (failed)
-                              self->fail("write-failed");
-                          else
-                              self->flush();
-                      });
+    asio::async_write(
+            m_socket, asio::buffer(m_out.data() + sent, m_out.size() - sent),
+            [self = shared_from_this()](const boost::system::error_code &failed, std::size_t) {
+                self->m_isWriting = false;
+                std::string().swap(self->m_out);
+                if (self->m_isClosed)
+                    return;
+                if (failed)
+                    self->fail("write-failed");
+                else
+                    self->flush();
+            });
 }
 
 void FrameChannel::waitReadable()
--- a/packages/node/src/peers/FrameChannel.h
+++ b/packages/node/src/peers/FrameChannel.h
@@ -29,8 +29,11 @@
     FrameChannel(asio::io_context &loop, TcpSocket socket, FrameObserver &observer);
 
     void start();
-    /// The observer is not told.
+    /// What was sent is still delivered. The observer is not told.
     void close();
+    /// Drops what was sent and not delivered, such as requests that were given up. The observer is
+    /// not told.
+    void abandon();
     void send(const mesh::Frame &frame);
     bool isOpen() const { return !m_isClosed; }
     /// When bytes last came.
--- a/packages/node/src/peers/PeerLink.cpp
+++ b/packages/node/src/peers/PeerLink.cpp
@@ -132,7 +132,7 @@
 {
     const bool wasUp = m_isUp;
     if (m_channel != nullptr)
-        m_channel->close();
+        m_channel->abandon();
     m_channel.reset();
     m_isUp = false;
     if (wasUp)
--- a/packages/node/src/peers/PeerMessages.cpp
+++ b/packages/node/src/peers/PeerMessages.cpp
@@ -2,6 +2,8 @@
 /// Conversions, one pair per message.
 #include "peers/PeerMessages.h"
 
+#include "http/Network.h"
+
 #include <algorithm>
 
 namespace godwitlift {
@@ -49,11 +51,14 @@
     message.set_objective_ms(millisecondsUntil(order.objective, now));
     message.set_is_idempotent(order.isIdempotent);
     message.set_is_head_method(order.isHeadMethod);
+    message.set_sent_us(static_cast<std::uint64_t>(absl::ToInt64Microseconds(suspendAwareClock())));
     return frame;
 }
 
-AttemptOrder decodeOrder(const mesh::OpenRequest &message, absl::Time now)
+AttemptOrder decodeOrder(const mesh::OpenRequest &message, absl::Time now, TransitDelay &transit)
 {
+    const absl::Duration delay =
+            transit.observe(absl::Microseconds(message.sent_us()), suspendAwareClock());
     AttemptOrder order;
     order.id = AttemptId(message.attempt());
     order.requestId = message.request_id();
@@ -61,8 +66,8 @@
     order.head = message.head();
     order.body = std::make_shared<const std::string>(message.body());
     order.urgency = static_cast<int>(message.urgency());
-    order.deadline = now + absl::Milliseconds(message.deadline_ms());
-    order.objective = now + absl::Milliseconds(message.objective_ms());
+    order.deadline = now + absl::Milliseconds(message.deadline_ms()) - delay;
+    order.objective = now + absl::Milliseconds(message.objective_ms()) - delay;
     order.isIdempotent = message.is_idempotent();
     order.isHeadMethod = message.is_head_method();
     return order;
@@ -99,8 +104,8 @@
     message.set_status(head.status);
     message.set_reason_phrase(std::move(head.phrase));
     message.set_fields(std::move(head.fields));
-    message.set_content_length(
-            head.contentLength ? static_cast<std::int64_t>(*head.contentLength) : -1);
+    message.set_content_length(head.contentLength ? static_cast<std::int64_t>(*head.contentLength)
+                                                  : -1);
     message.set_has_seal(head.isSealed);
     return frame;
 }
@@ -228,8 +233,8 @@
     for (const std::string &id : message.removed())
         changes.removed.emplace_back(id);
     for (const mesh::Service &service : message.services())
-        changes.services.push_back({ ServiceId(service.id()), service.health_path(),
-                                     service.connection_limit() });
+        changes.services.push_back(
+                { ServiceId(service.id()), service.health_path(), service.connection_limit() });
     changes.limits.headerBytes = message.limits().header_bytes();
     changes.limits.bodyBytes = message.limits().body_bytes();
     changes.limits.headerTimeout = absl::Microseconds(message.limits().header_timeout_us());
--- a/packages/node/src/peers/PeerMessages.h
+++ b/packages/node/src/peers/PeerMessages.h
@@ -7,6 +7,7 @@
 
 #include "godwitlift/traffic/ConfigurationReplica.h"
 #include "godwitlift/traffic/FinishTimeSelector.h"
+#include "godwitlift/traffic/TransitDelay.h"
 
 namespace godwitlift {
 
@@ -24,8 +25,8 @@
 PeerHost decodeHost(const mesh::HostEntry &entry);
 
 mesh::Frame encodeOrder(const AttemptOrder &order, absl::Time now);
-/// Deadlines count from \p now: the time on the way is lost to the request.
-AttemptOrder decodeOrder(const mesh::OpenRequest &message, absl::Time now);
+/// Deadlines count from \p now, less the time that the message was held up on its way.
+AttemptOrder decodeOrder(const mesh::OpenRequest &message, absl::Time now, TransitDelay &transit);
 
 mesh::Frame encodeFailure(AttemptId id, const AttemptFailure &failure);
 AttemptFailure decodeFailure(const mesh::RequestRefused &message);
--- a/packages/node/src/peers/PeerSession.cpp
+++ b/packages/node/src/peers/PeerSession.cpp
@@ -44,7 +44,7 @@
     switch (frame.content_case()) {
     case mesh::Frame::kOpenRequest:
         m_attempts.insert(frame.open_request().attempt());
-        m_door.open(decodeOrder(frame.open_request(), steadyNow()), weak_from_this());
+        m_door.open(decodeOrder(frame.open_request(), steadyNow(), m_transit), weak_from_this());
         break;
     case mesh::Frame::kCancelRequest:
         if (m_attempts.erase(frame.cancel_request().attempt()) > 0)
--- a/packages/node/src/peers/PeerSession.h
+++ b/packages/node/src/peers/PeerSession.h
@@ -31,8 +31,8 @@
                           public std::enable_shared_from_this<PeerSession>
 {
 public:
-    PeerSession(asio::io_context &loop, TcpSocket socket, LocalServer &server,
-                std::uint32_t source, PeerSessionObserver &observer);
+    PeerSession(asio::io_context &loop, TcpSocket socket, LocalServer &server, std::uint32_t source,
+                PeerSessionObserver &observer);
 
     void start();
     void close();
@@ -57,6 +57,7 @@
     PeerSessionObserver &m_observer;
     std::shared_ptr<FrameChannel> m_channel;
     absl::flat_hash_set<std::uint64_t> m_attempts;
+    TransitDelay m_transit;
     HostId m_peer; ///< Empty until the peer has said hello.
 };
 
--- /dev/null
+++ b/tests/node/MessageParserTests.cpp
@@ -0,0 +1,157 @@
+/// \file
+/// Framing of HTTP messages: any cut of the bytes, and requests that two readers could understand
+/// differently.
+#include "http/MessageParser.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace godwitlift;
+
+namespace {
+
+ParseState parseWhole(const std::string &text, RequestParser &parser)
+{
+    std::string input = text;
+    return parser.feed(input);
+}
+
+ParseState parseWhole(const std::string &text)
+{
+    RequestParser parser(16 * 1024, 1024);
+    return parseWhole(text, parser);
+}
+
+const std::string Post = "POST /a/%2e%2E/b?x=%20+y&&z HTTP/1.1\r\nHost: a.example\r\n";
+
+} // namespace
+
+TEST_CASE("path and query pass byte for byte")
+{
+    RequestParser parser(16 * 1024, 1024);
+    REQUIRE(parseWhole(Post + "Content-Length: 3\r\n\r\nabc", parser) == ParseState::Complete);
+    const HttpRequest request = parser.takeRequest();
+    CHECK(request.head.target == "/a/%2e%2E/b?x=%20+y&&z");
+    CHECK(request.body == "abc");
+}
+
+TEST_CASE("a request is the same however its bytes are cut")
+{
+    const std::string chunked =
+            Post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n";
+    for (std::size_t cut = 0; cut <= chunked.size(); ++cut) {
+        RequestParser parser(16 * 1024, 1024);
+        std::string input = chunked.substr(0, cut);
+        ParseState state = parser.feed(input);
+        if (cut < chunked.size())
+            REQUIRE(state == ParseState::NeedsMore);
+        input += chunked.substr(cut);
+        if (cut < chunked.size())
+            state = parser.feed(input);
+        REQUIRE(state == ParseState::Complete);
+        CHECK(parser.takeRequest().body == "abcde");
+        CHECK(input.empty());
+    }
+}
+
+TEST_CASE("pipelined requests are taken one by one")
+{
+    std::string input = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\nGET";
+    RequestParser first(1024, 1024);
+    REQUIRE(first.feed(input) == ParseState::Complete);
+    CHECK(first.takeRequest().head.target == "/1");
+    RequestParser second(1024, 1024);
+    REQUIRE(second.feed(input) == ParseState::Complete);
+    CHECK(second.takeRequest().head.target == "/2");
+    RequestParser third(1024, 1024);
+    CHECK(third.feed(input) == ParseState::NeedsMore);
+}
+
+TEST_CASE("ambiguous framing is refused")
+{
+    const std::vector<std::string> fields = {
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+        "Content-Length: 3\r\nContent-Length: 3\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: 3, 3\r\n",
+        "Content-Length: +3\r\n",
+        "Content-Length : 3\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "X-Folded: a\r\n b\r\n",
+        "Host: b.example\r\n",
+    };
+    for (const std::string &field : fields) {
+        CAPTURE(field);
+        CHECK(parseWhole(Post + field + "\r\nabc") == ParseState::Malformed);
+    }
+    CHECK(parseWhole("GET / HTTP/1.1\r\n\r\n") == ParseState::Malformed);
+    CHECK(parseWhole("nonsense\r\n\r\n") == ParseState::Malformed);
+}
+
+TEST_CASE("sizes beyond the limits are told apart")
+{
+    CHECK(parseWhole(Post + "Content-Length: 1025\r\n\r\n") == ParseState::BodyTooLarge);
+    CHECK(parseWhole(Post + "X: " + std::string(20'000, 'a') + "\r\n\r\n")
+          == ParseState::HeadTooLarge);
+    CHECK(parseWhole(Post + "Transfer-Encoding: chunked\r\n\r\nfff\r\n" + std::string(4095, 'a'))
+          == ParseState::BodyTooLarge);
+}
+
+TEST_CASE("an answer without length is complete only at an orderly end")
+{
+    ResponseParser parser(false);
+    std::string input = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc";
+    std::string body;
+    CHECK(parser.feed(input, body) == ParseState::NeedsMore);
+    CHECK(body == "abc");
+    CHECK(parser.head().endsWithConnection);
+    CHECK(parser.finishAtEnd());
+
+    ResponseParser cut(false);
+    input = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc";
+    body.clear();
+    CHECK(cut.feed(input, body) == ParseState::NeedsMore);
+    CHECK_FALSE(cut.finishAtEnd());
+}
+
+TEST_CASE("bytes after a complete answer stay in the input")
+{
+    ResponseParser parser(false);
+    std::string input = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n";
+    std::string body;
+    CHECK(parser.feed(input, body) == ParseState::Complete);
+    CHECK(body == "abc");
+    CHECK(input == "HTTP/1.1 200 OK\r\n");
+}
+
+TEST_CASE("interim answers are skipped and foreign bytes are found early")
+{
+    ResponseParser parser(false);
+    std::string input = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
+    std::string body;
+    CHECK(parser.feed(input, body) == ParseState::Complete);
+    CHECK(parser.head().status == 204);
+    ResponseParser foreign(false);
+    input = "\x16\x03";
+    CHECK(foreign.feed(input, body) == ParseState::Malformed);
+}
+
+TEST_CASE("fields of one connection are not passed on")
+{
+    HeaderFields fields;
+    fields.add("Connection", "close, X-Private");
+    fields.add("X-Private", "1");
+    fields.add("Keep-Alive", "timeout=5");
+    fields.add("TE", "trailers");
+    fields.add("Content-Length", "3");
+    fields.add("X-Kept", "a");
+    fields.add("X-Kept", "b");
+    fields.add("X-Replaced", "c");
+    std::string out;
+    appendForwardedFields(fields, { "x-replaced" }, out);
+    CHECK(out == "X-Kept: a\r\nX-Kept: b\r\n");
+}
--- /dev/null
+++ b/tests/platform/ConfigurationDecoderTests.cpp
@@ -0,0 +1,107 @@
+/// \file
+/// The platform's configuration: whole or not at all, every fault with its path.
+#include "godwitlift/platform_binding/PlatformBinding.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace godwitlift;
+
+namespace {
+
+nlohmann::json configuration()
+{
+    return nlohmann::json::parse(R"({"version":"0000001f","resources":[
+      {"entry_kind":"routes","metadata":{"name":"pay"},"spec":{"host":"a.example","prefix":"/pay/",
+        "kind":"unsafe","timeout":"1.5s","target_latency":"500ms","priority":1,"service":"desk",
+        "max_attempts":2}},
+      {"entry_kind":"routes","metadata":{"name":"look"},"spec":{"host":"a.example",
+        "prefix":"/look/","kind":"safe","timeout":"800ms","target_latency":"400ms","priority":0,
+        "traffic_split":[{"service":"desk","weight":90},{"service":"ledger","weight":10}],
+        "max_attempts":3}},
+      {"entry_kind":"routes","metadata":{"name":"pack"},"spec":{"host":"a.example",
+        "prefix":"/pack/","kind":"download","timeout":"2s","service":"ledger"}},
+      {"entry_kind":"services","metadata":{"name":"desk"},"spec":{"health_path":"/health",
+        "max_connections":130,"protocol":"h1","tls":false}},
+      {"entry_kind":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/live",
+        "max_connections":110}},
+      {"entry_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,
+        "max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15s"}},
+      {"entry_kind":"something-new","metadata":{},"spec":{}}]})");
+}
+
+std::shared_ptr<const RouteCatalogue> decode(const std::string &text, std::string &problem)
+{
+    const auto protocol = createPlatformProtocol();
+    const auto result = valueOr([&] { return protocol->decodeConfiguration(text); }, problem);
+    return result ? *result : nullptr;
+}
+
+} // namespace
+
+TEST_CASE("a configuration is decoded into the product's own terms")
+{
+    std::string problem;
+    const auto catalogue = decode(configuration().dump(), problem);
+    REQUIRE(catalogue != nullptr);
+    CHECK(catalogue->version() == Version(0x1f));
+    CHECK(catalogue->routeCount() == 3);
+    const TrafficRoute *pay = catalogue->route("a.example", "/pay/now");
+    REQUIRE(pay != nullptr);
+    CHECK(pay->replay == Replay::AtMostOnce);
+    CHECK(pay->timeout == absl::Milliseconds(1500));
+    CHECK(pay->objective == absl::Milliseconds(500));
+    CHECK(pay->urgency == 1);
+    CHECK(pay->attemptLimit == 2);
+    const TrafficRoute *look = catalogue->route("a.example", "/look/");
+    REQUIRE(look != nullptr);
+    CHECK(look->replay == Replay::Idempotent);
+    CHECK(look->destinations
+          == std::vector<WeightedService>{ { ServiceId("desk"), 90 },
+                                           { ServiceId("ledger"), 10 } });
+    const TrafficRoute *pack = catalogue->route("a.example", "/pack/x");
+    REQUIRE(pack != nullptr);
+    CHECK(pack->isBulk);
+    CHECK(pack->replay == Replay::Idempotent);
+    CHECK(pack->objective == pack->timeout);
+    CHECK(catalogue->service(ServiceId("ledger"))->healthPath == "/live");
+    CHECK(catalogue->limits().idleTimeout == absl::Seconds(15));
+    CHECK(catalogue->limits().bodyBytes == 1048576);
+}
+
+TEST_CASE("a configuration with any fault is refused whole, each fault named")
+{
+    const auto refused = [](const nlohmann::json &document, const std::string &expected) {
+        std::string problem;
+        CHECK(decode(document.dump(), problem) == nullptr);
+        CAPTURE(problem, expected);
+        CHECK(problem.find(expected) != std::string::npos);
+    };
+    auto document = configuration();
+    document["version"] = 12;
+    document["resources"][0]["spec"].erase("timeout");
+    refused(document, "version");
+    refused(document, "resources[0]");
+    document = configuration();
+    document["resources"][1]["spec"]["kind"] = "sometimes";
+    refused(document, "unknown kind");
+    document = configuration();
+    document["resources"][0]["spec"]["prefix"] = "/pay";
+    refused(document, "slash");
+    document = configuration();
+    document["resources"][2]["spec"].erase("service");
+    refused(document, "no service");
+    document = configuration();
+    document.erase("resources");
+    refused(document, "resources");
+}
+
+TEST_CASE("cut or foreign bytes are refused and crash nothing")
+{
+    const std::string text = configuration().dump();
+    std::string problem;
+    for (std::size_t size = 0; size < text.size(); size += 7)
+        CHECK(decode(text.substr(0, size), problem) == nullptr);
+    CHECK(decode("[1,2]", problem) == nullptr);
+    CHECK(decode("\xff\xfe", problem) == nullptr);
+}
--- /dev/null
+++ b/tests/platform/WireDecodingTests.cpp
@@ -0,0 +1,138 @@
+/// \file
+/// Announcements and store answers: unreadable ones name nobody and stop nothing.
+#include "godwitlift/platform_binding/PlatformBinding.h"
+
+#include <absl/strings/escaping.h>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace godwitlift;
+
+namespace {
+
+std::optional<ServerCall> decodeCall(const char *method, const std::string &target,
+                                     const std::string &body)
+{
+    const auto protocol = createPlatformProtocol();
+    std::string problem;
+    return valueOr([&] { return protocol->decodeServerCall(method, target, body); }, problem);
+}
+
+const std::string Beat = "/godwitlift/Instances.Heartbeat/";
+
+nlohmann::json beat()
+{
+    return { { "service", "desk" },
+             { "address", "10.0.0.9:8080" },
+             { "zone", "north" },
+             { "version", "v1" },
+             { "slots", 18 },
+             { "state", "ready" },
+             { "cold_remaining", "1200ms" },
+             { "sequence", 4 },
+             { "born", 1779658674924 } };
+}
+
+} // namespace
+
+TEST_CASE("an announcement is decoded into the product's own terms")
+{
+    const auto call = decodeCall("POST", Beat + "i-1", beat().dump());
+    REQUIRE(call.has_value());
+    CHECK(call->kind == ServerCall::Kind::Announce);
+    CHECK(call->announcement.id == BackendServerId("i-1"));
+    CHECK(call->announcement.startedUnixMs == 1779658674924);
+    CHECK(call->announcement.sequence == Sequence(4));
+    CHECK(call->announcement.slots == 18);
+    CHECK(call->announcement.coldFor == absl::Milliseconds(1200));
+    CHECK_FALSE(call->announcement.isDraining);
+    auto draining = beat();
+    draining["state"] = "draining";
+    CHECK(decodeCall("POST", Beat + "i-1", draining.dump())->announcement.isDraining);
+    const auto leave = decodeCall("POST", "/godwitlift/Instances.Deregister/i-1", "");
+    REQUIRE(leave.has_value());
+    CHECK(leave->kind == ServerCall::Kind::Deregister);
+}
+
+TEST_CASE("a forged announcement names no backend server")
+{
+    for (const char *key : { "service", "address", "slots", "state", "sequence" }) {
+        auto document = beat();
+        document.erase(key);
+        CHECK_FALSE(decodeCall("POST", Beat + "i-1", document.dump()).has_value());
+        document[key] = nlohmann::json::array();
+        CHECK_FALSE(decodeCall("POST", Beat + "i-1", document.dump()).has_value());
+    }
+    auto document = beat();
+    document["state"] = "sleeping";
+    CHECK_FALSE(decodeCall("POST", Beat + "i-1", document.dump()).has_value());
+    document = beat();
+    document["slots"] = -3;
+    CHECK_FALSE(decodeCall("POST", Beat + "i-1", document.dump()).has_value());
+    CHECK_FALSE(decodeCall("POST", Beat, beat().dump()).has_value());
+    CHECK_FALSE(decodeCall("GET", Beat + "i-1", beat().dump()).has_value());
+    CHECK_FALSE(decodeCall("POST", Beat + "i-1", "\x93\x01").has_value());
+}
+
+TEST_CASE("unreadable rows are left out and counted; the others hold")
+{
+    const auto protocol = createPlatformProtocol();
+    StoreRequest request;
+    request.kind = StoreRequest::Kind::List;
+    request.table = "t";
+    const nlohmann::json body = {
+        { "rows",
+          { { { "table", "t" },
+              { "part", "" },
+              { "key", "a" },
+              { "value", absl::Base64Escape("one") },
+              { "ver", 3 } },
+            { { "table", "t" }, { "key", "b" }, { "value", "%%%" }, { "ver", 4 } },
+            { { "table", "t" }, { "key", 9 }, { "ver", 5 } },
+            { { "table", "t" }, { "key", "d" }, { "ver", 6 }, { "deleted", true } },
+            7 } },
+        { "has_more", true },
+        { "ver", 12 },
+        { "now", "5ms" }
+    };
+    const StoreAnswer answer = protocol->decodeStoreAnswer(request, 200, body.dump());
+    CHECK(answer.outcome == StoreOutcome::Done);
+    CHECK(answer.revision == 12);
+    CHECK(answer.hasMore);
+    CHECK(answer.unreadable == 3);
+    REQUIRE(answer.rows.size() == 2);
+    CHECK(answer.rows[0].value == "one");
+    CHECK(answer.rows[1].isDeleted);
+}
+
+TEST_CASE("a store answer says whether anything was done")
+{
+    const auto protocol = createPlatformProtocol();
+    StoreRequest request;
+    request.kind = StoreRequest::Kind::Put;
+    CHECK(protocol->decodeStoreAnswer(request, 503, "").outcome == StoreOutcome::Refused);
+    CHECK(protocol->decodeStoreAnswer(request, 429, "").outcome == StoreOutcome::Refused);
+    CHECK(protocol->decodeStoreAnswer(request, 410, "").outcome == StoreOutcome::HistoryGone);
+    CHECK(protocol->decodeStoreAnswer(request, 200, "{\"ver\":1").outcome == StoreOutcome::Unknown);
+    CHECK(protocol->decodeStoreAnswer(request, 200, R"({"ver":1,"now":"1ms"})").outcome
+          == StoreOutcome::Done);
+}
+
+TEST_CASE("a probe names the backend server that answers")
+{
+    const auto protocol = createPlatformProtocol();
+    const auto field = [](std::string_view name) -> std::optional<std::string_view> {
+        if (name == "X-Instance-Id")
+            return "i-1";
+        if (name == "X-Server-Load")
+            return "3,0,8";
+        return std::nullopt;
+    };
+    const auto answer = protocol->decodeProbe(200, field);
+    REQUIRE(answer.has_value());
+    CHECK(answer->isHealthy);
+    CHECK(answer->slots == 8);
+    CHECK_FALSE(protocol->decodeProbe(503, field)->isHealthy);
+    const auto none = [](std::string_view) { return std::optional<std::string_view>(); };
+    CHECK_FALSE(protocol->decodeProbe(200, none).has_value());
+}
