Let hosts with wide links watch, and pass large changes on one at a time

Change: watchers are chosen by bandwidth first; a node sends one large answer at a time, and who gets none asks another node after 150 ms, wide ones first.

--- a/packages/decisions/include/godwitlift/traffic/RouteCatalogue.h
+++ b/packages/decisions/include/godwitlift/traffic/RouteCatalogue.h
@@ -60,8 +60,8 @@
 /// What a client may send and how long it may take.
 struct ClientLimits
 {
-    std::size_t headerBytes = 16 * 1024;
-    std::size_t bodyBytes = 1024 * 1024;
+    std::size_t headerBytes = 16'384;
+    std::size_t bodyBytes = 1'048'576;
     absl::Duration headerTimeout = absl::Seconds(5);
     absl::Duration idleTimeout = absl::Seconds(15);
 
--- a/packages/decisions/src/traffic/WatcherElection.cpp
+++ b/packages/decisions/src/traffic/WatcherElection.cpp
@@ -12,8 +12,8 @@
 bool isWatcher(const WatcherCandidate &self, const std::vector<WatcherCandidate> &peers)
 {
     const auto rank = [](const WatcherCandidate &candidate) {
-        return std::make_tuple(candidate.isStoreFailing, hashOf(candidate.host.value()),
-                               candidate.host);
+        return std::make_tuple(candidate.isStoreFailing, UINT32_MAX - candidate.linkMbps,
+                               hashOf(candidate.host.value()), candidate.host);
     };
     const auto own = rank(self);
     const auto ahead = std::count_if(peers.begin(), peers.end(),
--- a/packages/node/include/godwitlift/node/MeshSettings.h
+++ b/packages/node/include/godwitlift/node/MeshSettings.h
@@ -24,9 +24,12 @@
     Address readiness;
     Address announcements;
     Address peers;
+    Address advertisedPeers; ///< Where other nodes reach `peers`; the same unless an address is
+                             ///< translated on the way.
     Address metrics;
     Address store;
     std::size_t descriptorLimit = 1024;
+    std::uint32_t linkMbps = 0; ///< Bandwidth of the host's link; 0 is unknown.
     absl::Duration announcementInterval; ///< Between two announcements of a backend server.
     absl::Duration stopTimeout; ///< From SIGTERM until the process is killed.
     RetryBudgetRule retryRule;
--- a/packages/node/src/gate/LocalServer.cpp
+++ b/packages/node/src/gate/LocalServer.cpp
@@ -310,7 +310,7 @@
 {
     const absl::Time now = steadyNow();
     while (!m_idle.empty()) {
-        const auto connection = m_idle.back();
+        auto connection = m_idle.back();
         const absl::Duration usable =
                 order.isIdempotent ? std::min(DefaultIdleTime,
                                               connection->keepAlive() - KeepAliveMargin)
--- a/packages/node/src/http/HttpMessage.cpp
+++ b/packages/node/src/http/HttpMessage.cpp
@@ -39,12 +39,12 @@
 
 bool isHopByHop(std::string_view fieldName, std::string_view connectionValue)
 {
-    static constexpr std::array<std::string_view, 9> names = {
+    static constexpr std::array<std::string_view, 9> Names = {
         "connection",          "keep-alive", "proxy-authenticate", "proxy-connection",
         "proxy-authorization", "te",         "trailer",            "transfer-encoding",
         "upgrade"
     };
-    for (const std::string_view name : names) {
+    for (const std::string_view name : Names) {
         if (equalsIgnoringCase(fieldName, name))
             return true;
     }
--- a/packages/node/src/http/MessageParser.cpp
+++ b/packages/node/src/http/MessageParser.cpp
@@ -14,7 +14,7 @@
 namespace http = boost::beast::http;
 
 /// Largest response head that is accepted from a backend server, in bytes.
-constexpr std::size_t ResponseHeadLimit = 64 * 1024;
+constexpr std::size_t ResponseHeadLimit = 65'536;
 
 /// A body that is handed out in pieces; unlike the library's string body it reserves nothing for
 /// an announced length.
@@ -22,7 +22,7 @@
 {
     using value_type = std::string;
 
-    class reader
+    class reader // NOLINT(readability-identifier-naming): the name that the library looks for.
     {
     public:
         template<bool isRequest, class Fields>
--- a/packages/node/src/http/Network.cpp
+++ b/packages/node/src/http/Network.cpp
@@ -86,7 +86,7 @@
 
 char *ReadScratch::data()
 {
-    static char buffer[Size];
+    static thread_local char buffer[Size];
     return buffer;
 }
 
--- a/packages/node/src/http/Network.h
+++ b/packages/node/src/http/Network.h
@@ -39,7 +39,7 @@
 /// Sets the timer to \p delay from now; at least zero.
 void expireAfter(LoopTimer &timer, absl::Duration delay);
 
-/// Scratch space for reads; valid until the handler returns, as one thread runs the loop.
+/// Scratch space for reads, one for each thread; valid until the handler returns.
 struct ReadScratch
 {
     static constexpr std::size_t Size = 64 * 1024;
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -33,9 +33,15 @@
 /// partition that is worth waiting for.
 constexpr absl::Duration ForgetAfter = absl::Seconds(60);
 
-/// Pause between two requests for a configuration, and the time that the watchers of the own zone
-/// have to bring a version that another zone has.
-constexpr absl::Duration ConfigurationPatience = absl::Milliseconds(250);
+/// Time after which an unanswered request for a configuration is sent to another node.
+constexpr absl::Duration ConfigurationPatience = absl::Milliseconds(150);
+/// Time that nodes of the own zone have to bring a version that another zone has: a few rounds in
+/// which each node that has it passes it on.
+constexpr absl::Duration FarPatience = absl::Milliseconds(600);
+/// Changes up to this size in bytes are passed on to whoever asks; larger ones one at a time.
+constexpr std::size_t SmallChanges = 16'384;
+/// Part of a link's bandwidth that large changes may take.
+constexpr double ServingShare = 0.7;
 
 std::string encodeRow(const PeerHost &host)
 {
@@ -271,6 +277,7 @@
         gateChanged(false);
     settleDrains([&](const PendingDrain &drain) { return now - drain.since > DrainPatience; });
     reviewWatching();
+    catchUp();
 }
 
 void PeerMesh::gateChanged(bool isUrgent)
@@ -360,7 +367,7 @@
 
 NodeState PeerMesh::nodeState() const
 {
-    return { m_keeper->version(), m_isLeaving, m_keeper->isStoreFailing() };
+    return { m_keeper->version(), m_isLeaving, m_keeper->isStoreFailing(), m_options.linkMbps };
 }
 
 void PeerMesh::askForConfiguration(PeerLink &link, Version above)
@@ -371,42 +378,63 @@
     link.send(frame);
 }
 
-void PeerMesh::configurationHeard(Version version, PeerLink &link)
+void PeerMesh::catchUp()
 {
-    if (version <= m_keeper->version()
-        || steadyNow() - m_askedForConfiguration < ConfigurationPatience)
+    const absl::Time now = steadyNow();
+    PeerLink *best = nullptr;
+    double bestScore = 0;
+    bool isBehind = false;
+    for (const auto &[host, state] : m_peerStates) {
+        const auto link = m_links.find(host);
+        if (link == m_links.end() || !link->second->isUp()
+            || state.version <= m_keeper->version())
+            continue;
+        isBehind = true;
+        // Links between zones are dear; nodes of the own zone bring a version soon after.
+        const bool isNear = link->second->host().zone == m_options.self.zone;
+        if (!isNear && m_keeper->version() != Version()
+            && now - std::min(m_behindSince, now) < FarPatience)
+            continue;
+        // Wide links first, by chance among equals: a node that was asked in vain was busy.
+        const double score = (isNear ? 1 : 0.1) * (1 + state.linkMbps) * (0.05 + m_random.unit());
+        if (best == nullptr || score > bestScore) {
+            best = link->second.get();
+            bestScore = score;
+        }
+    }
+    m_behindSince = isBehind ? std::min(m_behindSince, now) : absl::InfiniteFuture();
+    if (best != nullptr && now - m_askedForConfiguration >= ConfigurationPatience)
+        askForConfiguration(*best, m_keeper->version());
+}
+
+void PeerMesh::serveConfiguration(PeerSession &session, Version above)
+{
+    if (above >= m_keeper->version())
         return;
-    // Links between zones are dear; the watchers of the own zone bring a version soon after.
-    const bool isNear = link.host().zone == m_options.self.zone;
-    if (isNear || m_keeper->version() == Version())
-        askForConfiguration(link, m_keeper->version());
+    const mesh::Frame frame = encodeChanges(m_keeper->changesSince(above));
+    const std::size_t size = frame.ByteSizeLong();
+    const absl::Time now = steadyNow();
+    if (size > SmallChanges && m_options.linkMbps > 0) {
+        // A large answer takes its time on the link. Who asks meanwhile asks another node soon.
+        if (now < m_servedLarge)
+            return;
+        m_servedLarge = now + absl::Seconds(static_cast<double>(size) * 8
+                                            / (m_options.linkMbps * ServingShare * 1e6));
+    }
+    session.send(frame);
 }
 
 void PeerMesh::reviewWatching()
 {
     std::vector<WatcherCandidate> peers;
-    PeerLink *ahead = nullptr;
     for (const auto &[host, state] : m_peerStates) {
         const auto link = m_links.find(host);
-        if (link == m_links.end() || !link->second->isUp())
-            continue;
-        if (link->second->host().zone == m_options.self.zone && !state.isLeaving)
-            peers.push_back({ host, state.isStoreFailing });
-        if (state.version > m_keeper->version())
-            ahead = link->second.get();
+        if (link != m_links.end() && link->second->isUp() && !state.isLeaving
+            && link->second->host().zone == m_options.self.zone)
+            peers.push_back({ host, state.isStoreFailing, state.linkMbps });
     }
-    m_keeper->setWatching(
-            isWatcher({ m_options.self.host, m_keeper->isStoreFailing() }, peers));
-    const absl::Time now = steadyNow();
-    if (ahead == nullptr) {
-        m_behindSince = absl::InfiniteFuture();
-        return;
-    }
-    m_behindSince = std::min(m_behindSince, now);
-    // Nobody in the zone brought what another zone has.
-    if (now - m_behindSince >= ConfigurationPatience
-        && now - m_askedForConfiguration >= ConfigurationPatience)
-        askForConfiguration(*ahead, m_keeper->version());
+    m_keeper->setWatching(isWatcher(
+            { m_options.self.host, m_keeper->isStoreFailing(), m_options.linkMbps }, peers));
 }
 
 void PeerMesh::linkFrame(PeerLink &link, const mesh::Frame &frame)
@@ -414,11 +442,11 @@
     switch (frame.content_case()) {
     case mesh::Frame::kHello:
         helloReceived(frame.hello());
-        configurationHeard(Version(frame.hello().configuration_version()), link);
         break;
     case mesh::Frame::kGateState:
         m_peerStates[link.host().host] = decodeNodeState(frame.gate_state());
-        configurationHeard(Version(frame.gate_state().configuration_version()), link);
+        if (Version(frame.gate_state().configuration_version()) > m_keeper->version())
+            catchUp();
         break;
     case mesh::Frame::kConfigurationChanges:
         if (!m_keeper->accept(decodeChanges(frame.configuration_changes()),
@@ -454,12 +482,9 @@
             link->second->wake();
         break;
     }
-    case mesh::Frame::kConfigurationWanted: {
-        const Version above(frame.configuration_wanted().above_version());
-        if (above < m_keeper->version())
-            session.send(encodeChanges(m_keeper->changesSince(above)));
+    case mesh::Frame::kConfigurationWanted:
+        serveConfiguration(session, Version(frame.configuration_wanted().above_version()));
         break;
-    }
     case mesh::Frame::kDrainNoted:
         drainWitnessed(frame.drain_noted().server());
         break;
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -36,6 +36,7 @@
     {
         PeerHost self;
         Address peers;
+        std::uint32_t linkMbps = 0; ///< 0 is unknown.
     };
 
     PeerMesh(asio::io_context &loop, Options options, StoreClient &store, LocalServer &server,
@@ -86,8 +87,10 @@
     void forget(const HostId &host, std::string_view cause);
     void broadcastGate();
     void sendGate(PeerSession &session);
-    void configurationHeard(Version version, PeerLink &link);
     void askForConfiguration(PeerLink &link, Version above);
+    /// Asks the peer that can best bring a newer version, if there is one.
+    void catchUp();
+    void serveConfiguration(PeerSession &session, Version above);
     void reviewWatching();
     NodeState nodeState() const;
     void drainWitnessed(const std::string &server);
@@ -121,6 +124,7 @@
     std::map<HostId, DrainRecord> m_drainMemory; ///< Of other hosts.
     std::map<HostId, NodeState> m_peerStates;    ///< As reported on the links that are up.
     absl::Time m_askedForConfiguration = absl::InfinitePast();
+    absl::Time m_servedLarge = absl::InfinitePast(); ///< When the last large answer is sent.
     absl::Time m_behindSince = absl::InfiniteFuture(); ///< Since when a peer holds a newer version.
     std::vector<PendingDrain> m_pendingDrains;
     GateReport m_lastReport;
--- a/packages/node/src/peers/PeerMessages.cpp
+++ b/packages/node/src/peers/PeerMessages.cpp
@@ -135,13 +135,14 @@
     message.set_configuration_version(node.version.value());
     message.set_is_leaving(node.isLeaving);
     message.set_is_store_failing(node.isStoreFailing);
+    message.set_link_mbps(node.linkMbps);
     return frame;
 }
 
 NodeState decodeNodeState(const mesh::GateState &message)
 {
     return { Version(message.configuration_version()), message.is_leaving(),
-             message.is_store_failing() };
+             message.is_store_failing(), message.link_mbps() };
 }
 
 GateReport decodeReport(const mesh::GateState &message)
--- a/packages/node/src/peers/PeerMessages.h
+++ b/packages/node/src/peers/PeerMessages.h
@@ -40,6 +40,7 @@
     Version version; ///< Of the configuration in force.
     bool isLeaving = false;
     bool isStoreFailing = false;
+    std::uint32_t linkMbps = 0; ///< 0 is unknown.
 };
 
 mesh::Frame encodeReport(const GateReport &report, const NodeState &node);
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -114,7 +114,9 @@
                      protocol },
                    *this)
         , m_mesh(m_loop,
-                 { { m_settings.host, m_settings.peers, m_settings.zone }, m_settings.peers },
+                 { { m_settings.host, m_settings.advertisedPeers, m_settings.zone },
+                   m_settings.peers,
+                   m_settings.linkMbps },
                  m_store, m_server, m_selector, m_log, m_metrics, m_random)
         , m_ingress(m_loop,
                     { m_settings.host, m_settings.service, protocol.fieldNames(),
--- a/packages/node/src/runtime/MeshSettings.cpp
+++ b/packages/node/src/runtime/MeshSettings.cpp
@@ -31,6 +31,8 @@
 {
     ObjectReader reader(object, "limits", faults);
     settings.descriptorLimit = reader.requiredInteger("descriptors", 256, 1'000'000);
+    settings.linkMbps =
+            static_cast<std::uint32_t>(reader.number("link_mbps", 0, 1e6, 0));
     reader.finish();
 }
 
@@ -65,6 +67,9 @@
         settings.announcements = addressOf(addresses, "announcements");
         settings.peers = addressOf(addresses, "peers");
         settings.metrics = addressOf(addresses, "metrics");
+        settings.advertisedPeers = addresses.has("advertised_peers")
+                                           ? addressOf(addresses, "advertised_peers")
+                                           : settings.peers;
         addresses.finish();
     }
     settings.store = addressOf(reader, "store");
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
-git ls-files -co --exclude-standard 'packages/*.cpp' | grep -v '/generated/' |
+git ls-files -co --exclude-standard 'packages/*.cpp' 'platform/*.cpp' | grep -v '/generated/' |
   xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p "$build"
--- a/tests/traffic/ConfigurationReplicaTests.cpp
+++ b/tests/traffic/ConfigurationReplicaTests.cpp
@@ -138,7 +138,7 @@
 {
     std::vector<WatcherCandidate> nodes;
     for (int i = 0; i < 12; ++i)
-        nodes.push_back({ HostId("host-" + std::to_string(i)), false });
+        nodes.push_back({ HostId("host-" + std::to_string(i)), false, 7 });
     const auto watchers = [&] {
         std::size_t count = 0;
         for (const WatcherCandidate &node : nodes) {
@@ -161,3 +161,17 @@
     nodes.resize(1);
     CHECK(watchers() == 1);
 }
+
+TEST_CASE("hosts with wide links watch for those with thin ones")
+{
+    const WatcherCandidate thin{ HostId("thin"), false, 7 };
+    const WatcherCandidate wide{ HostId("wide"), false, 140 };
+    const WatcherCandidate other{ HostId("other"), false, 140 };
+    const WatcherCandidate third{ HostId("third"), false, 7 };
+    CHECK(isWatcher(wide, { thin, other, third }));
+    CHECK(isWatcher(other, { thin, wide, third }));
+    CHECK_FALSE(isWatcher(thin, { wide, other, third }));
+    const WatcherCandidate failing{ HostId("wide"), true, 140 };
+    CHECK((isWatcher(thin, { failing, other, third })
+           || isWatcher(third, { failing, other, thin })));
+}
