--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -80,8 +80,8 @@
             while (message := await stream.message()) is not None:
                 if not await self.answer(stream, message):
                     break
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass  # The node gave the call up.
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # The node gave the call up, or the run is over.
         writer.close()
 
     async def answer(self, stream, message):
@@ -194,8 +194,8 @@
             while (message := await stream.message()) is not None:
                 if not await self.answer(stream, message):
                     break
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass  # The gate cancelled the request.
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # The gate cancelled the request, or the run is over.
         writer.close()
 
     async def answer(self, stream, message):
@@ -274,5 +274,5 @@
                 await writer.drain()
             if writer.can_write_eof():
                 writer.write_eof()
-        except (ConnectionError, OSError, RuntimeError):
+        except (ConnectionError, OSError, RuntimeError, asyncio.CancelledError):
             writer.transport.abort()
