--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -26,6 +26,8 @@
 constexpr absl::Duration QueuePause = absl::Milliseconds(20);
 /// Pause between two sweeps over client connections and idle ones to the backend server.
 constexpr absl::Duration SweepPause = absl::Seconds(1);
+/// Pause between two looks at the settings file; a change needs no more haste than its operator.
+constexpr absl::Duration SettingsCheckPause = absl::Seconds(5);
 /// Descriptors kept for files, links, the store and the backend server.
 constexpr std::size_t ReservedDescriptors = 600;
 /// After SIGTERM the node takes requests until its readiness has led the clients away: the
@@ -139,6 +141,7 @@
         m_mesh.setConfiguration(m_keeper);
         m_selector.setOwnZone(m_settings.zone);
         m_clientServer.setLimits(clientLimits(ClientLimits()));
+        m_settingsText = readFile(m_settingsFile).value_or("");
     }
 
     Result<void> listen()
@@ -287,6 +290,10 @@
             m_readinessServer.sweep();
             m_metricsServer.sweep();
         }
+        if (now - m_lastSettingsCheck >= SettingsCheckPause) {
+            m_lastSettingsCheck = now;
+            reloadIfChanged();
+        }
         if (m_isLeaving)
             leaveIfDone(now);
     }
@@ -304,10 +311,19 @@
         });
     }
 
+    /// The file may also change without a signal.
+    void reloadIfChanged()
+    {
+        const auto text = readFile(m_settingsFile);
+        if (text && *text != m_settingsText)
+            reload();
+    }
+
     void reload()
     {
         const auto text = readFile(m_settingsFile);
         std::string problem = "cannot be read";
+        m_settingsText = text.value_or("");
         const auto settings =
                 text ? valueOr([&] { return decodeMeshSettings(*text); }, problem) : std::nullopt;
         if (!settings) {
@@ -359,6 +375,7 @@
     MeshSettings m_settings;
     const PlatformProtocol &m_protocol;
     std::string m_settingsFile;
+    std::string m_settingsText; ///< As last read, whether or not it was taken over.
     asio::io_context m_loop;
     SeededRandom m_random;
     DecisionLog m_log;
@@ -381,6 +398,7 @@
     LoopTimer m_queueTick;
     bool m_isQueueTicking = false;
     absl::Time m_lastSweep = absl::InfinitePast();
+    absl::Time m_lastSettingsCheck = absl::InfinitePast();
     bool m_isLeaving = false;
     absl::Time m_leavingSince;
     bool m_hasStoppedAccepting = false;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -134,7 +134,7 @@
         self.versions.append((time.monotonic(), self.version))
 
     async def request(self, host, stream, target, method, body):
-        """One client attempt on an open connection; returns the status or None."""
+        """One client attempt on an open connection: the status or None, whether it stays open."""
         self.last_request += 1
         request = f"{self.seed:x}-{self.last_request}"
         sent = time.monotonic()
@@ -148,7 +148,7 @@
         status = int(answer[0].split(" ")[1]) if answer else None
         self.counts[status] = self.counts.get(status, 0) + 1
         self.check_answer(request, target, method, body, status, answer, sent, host)
-        return status
+        return status, answer is not None and answer[1].get("connection") != "close"
 
     def check_answer(self, request, target, method, body, status, answer, sent, host):
         runs = self.runs.get(request, [])
@@ -157,7 +157,7 @@
         if method == "POST" and len(runs) > 1:
             self.violate("at most once", f"{request} ran {len(runs)} times")
         if status in (408, 421, 429, 503):
-            if self.broken == "refused" and self.random.random() < 0.2:
+            if self.broken == "refused":
                 self.runs.setdefault(request, []).append((sent, "", None, target))
             asyncio.get_running_loop().call_later(3, self.check_refused, request, status)
         if status == 200:
@@ -181,7 +181,7 @@
             self.violate("refused is not run", f"{request} got {status} and ran")
 
     def check_drains(self):
-        bound = 0.0 if self.broken == "drain" else DRAIN_BOUND
+        bound = -DRAIN_BOUND if self.broken == "drain" else DRAIN_BOUND
         for request, runs in self.runs.items():
             for start, server, drained_at, _ in runs:
                 if drained_at is not None and start > drained_at + bound:
@@ -207,9 +207,10 @@
                     ("/pay/now", "POST", b"p" * 500) if kind < 0.8 else (f"/v{version}/x", "GET",
                                                                          b""))
                 began = time.monotonic()
-                status = await self.request(host, stream, target, method, body)
+                status, is_kept = await self.request(host, stream, target, method, body)
                 if status is None:
                     self.check_cut(host, began)
+                if not is_kept:
                     break
                 await asyncio.sleep(self.random.uniform(0, 0.05))
             writer.close()
@@ -217,11 +218,10 @@
     def check_cut(self, host, began):
         """A node that is only being stopped as planned cuts nothing that it has taken."""
         planned = getattr(host, "stopping_since", None)
-        is_broken = self.broken == "shutdown" and planned is not None
         is_only_planned = (planned is not None and planned <= began < planned + 2
                            and all(other.is_calm(began) or other is host for other in self.hosts)
                            and host.clean_stop and self.store_disturbed_until < began)
-        if is_broken or is_only_planned:
+        if is_only_planned:
             self.violate("graceful stop", f"{host.name} cut a request that it had taken")
 
     async def announce(self, host):
@@ -270,7 +270,7 @@
         host.clean_stop = host.is_calm(time.monotonic())
         host.stopping_since = time.monotonic()
         host.disturb(STOP_TIMEOUT)
-        host.signal(signal.SIGTERM)
+        host.signal(signal.SIGKILL if self.broken == "shutdown" else signal.SIGTERM)
 
     async def fault_hup(self, host, length):
         host.signal(signal.SIGHUP)
@@ -357,8 +357,8 @@
                 status = None
                 try:
                     reader, writer = await asyncio.open_connection("127.0.0.1", host.clients)
-                    status = await self.request(host, HttpStream(reader, writer),
-                                                f"/v{self.version}/x", "GET", b"")
+                    status, _ = await self.request(host, HttpStream(reader, writer),
+                                                   f"/v{self.version}/x", "GET", b"")
                     writer.close()
                 except OSError:
                     pass  # The node is starting.
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -256,8 +256,11 @@
         self.pairs.add(pair)
         # A connection that is silenced once stays so; new ones work again.
         state = {"up": False, "down": False}
-        await asyncio.gather(self.pump(reader, up_writer, "up", state),
-                             self.pump(up_reader, writer, "down", state))
+        try:
+            await asyncio.gather(self.pump(reader, up_writer, "up", state),
+                                 self.pump(up_reader, writer, "down", state))
+        except asyncio.CancelledError:
+            pass  # The run is over.
         self.pairs.discard(pair)
         for end in pair:
             end.close()
