Leave headroom before short urgent work in the in-time discipline too

Change: lesser work leaves up to a tenth of the slots while shorter urgent work was seen in the last two seconds.

--- a/packages/decisions/src/serving/Gate.cpp
+++ b/packages/decisions/src/serving/Gate.cpp
@@ -95,7 +95,7 @@
 
 std::uint32_t Gate::headroom(std::size_t lane, std::uint32_t limit) const
 {
-    if (m_discipline != GateDiscipline::Ranked)
+    if (m_discipline != GateDiscipline::Ranked && m_discipline != GateDiscipline::InTimeFirst)
         return 0;
     std::uint32_t wanted = 0;
     for (std::size_t i = 0; i < lane; ++i) {
@@ -250,7 +250,7 @@
         lane = lateLane(lane);
     const absl::Time due = isInTime ? std::min(call.objective, call.deadline) : call.deadline;
     const std::uint32_t limit = m_limit.current(now);
-    const bool mayStartNow = m_inUse < limit && m_lanes[lane].queue.isEmpty();
+    const bool mayStartNow = mayStart(lane, limit) && m_lanes[lane].queue.isEmpty();
     const absl::Duration wait = mayStartNow ? absl::ZeroDuration() : queueWait(lane, limit);
     // A late request is not kept waiting for long: slots that are taken go to those in time.
     const absl::Time latestStart = isInTime ? due - service : std::min(due - service,
@@ -261,6 +261,7 @@
     }
     if (mayStartNow) {
         start(lane, call.attempt, now, step);
+        notePeaks(now);
         return step;
     }
     auto pushed = m_lanes[lane].queue.push({ call.attempt, call.caller, now, due },
@@ -270,6 +271,7 @@
     if (pushed.displaced)
         step.refusals.push_back({ pushed.displaced->attempt, Reason::Displaced, wait });
     startWaiting(now, step);
+    notePeaks(now);
     return step;
 }
 
--- a/tests/traffic/SustainedOverloadTests.cpp
+++ b/tests/traffic/SustainedOverloadTests.cpp
@@ -145,6 +145,35 @@
     CHECK(other.inTime + other.late >= 0.3 * Capacity);
 }
 
+TEST_CASE("calls of running requests: long lesser work leaves headroom for them")
+{
+    Gate gate(SlotLimit(Slots, Start - absl::Hours(1), absl::ZeroDuration()), ranks(),
+              GateDiscipline::InTimeFirst);
+    std::uint64_t last = 0;
+    const auto offer = [&](const char *rank, absl::Time now) {
+        GateCall call;
+        call.attempt = AttemptId(++last);
+        call.rank = RankId(rank);
+        call.deadline = now + absl::Seconds(60);
+        call.objective = now + absl::Seconds(30);
+        return gate.arrive(call, now);
+    };
+    // The gate learns that urgent work is short and lesser work is long.
+    REQUIRE(offer("urgent", Start).starts.size() == 1);
+    REQUIRE(offer("other", Start).starts.size() == 1);
+    gate.finished(AttemptId(1), RunEnd::Answered, Start + absl::Milliseconds(80));
+    const absl::Time now = Start + absl::Milliseconds(900);
+    gate.finished(AttemptId(2), RunEnd::Answered, now);
+    REQUIRE(offer("urgent", now).starts.size() == 1);
+    gate.finished(AttemptId(3), RunEnd::Answered, now + absl::Milliseconds(1));
+    // A flood of lesser work does not take the last slot while urgent work was seen lately.
+    const absl::Time flood = now + absl::Milliseconds(10);
+    for (std::uint32_t i = 0; i < 2 * Slots; ++i)
+        offer("other", flood);
+    CHECK(gate.inUse() == Slots - 1);
+    CHECK(offer("urgent", flood).starts.size() == 1);
+}
+
 TEST_CASE("returning callers: late requests take only what those in time leave")
 {
     Gate gate(SlotLimit(2, Start - absl::Hours(1), absl::ZeroDuration()), ranks(),
