Ping peers in both directions; ask a failing store short questions

Change: a link counts as up only while its pings are answered, a session while its opener pings; a watch lasts 3 s instead of 8, and questions to a failing store are not held.

--- a/packages/decisions/include/godwitlift/traffic/ConfigurationWatch.h
+++ b/packages/decisions/include/godwitlift/traffic/ConfigurationWatch.h
@@ -33,13 +33,14 @@
 class ConfigurationWatch final
 {
 public:
-    /// A watch is renewed this often; an intermediary may drop a connection that is quiet for long.
-    static constexpr absl::Duration WatchTime = absl::Seconds(8);
+    /// A watch is renewed this often. A connection that goes silent, or a store that forgets the
+    /// question, costs at most one watch; a version has seconds to come into force.
+    static constexpr absl::Duration WatchTime = absl::Seconds(3);
     /// Changes that follow each other within this time are taken together: versions may come many
     /// times a second, each call costs, and a version has seconds to come into force.
     static constexpr absl::Duration CoalescingTime = absl::Milliseconds(400);
     static constexpr absl::Duration FirstBackoff = absl::Milliseconds(200);
-    static constexpr absl::Duration LongestBackoff = absl::Seconds(1);
+    static constexpr absl::Duration LongestBackoff = absl::Milliseconds(500);
 
     explicit ConfigurationWatch(RandomSource &random)
         : m_random(random)
--- a/packages/decisions/src/traffic/ConfigurationWatch.cpp
+++ b/packages/decisions/src/traffic/ConfigurationWatch.cpp
@@ -24,7 +24,8 @@
     step.isWatch = !m_mustRead;
     if (step.isWatch) {
         step.after = m_revision;
-        step.wait = WatchTime;
+        // While the store fails, short questions find its return soon.
+        step.wait = isFailing() ? absl::ZeroDuration() : WatchTime;
     }
     return step;
 }
--- a/packages/node/src/peers/PeerLink.cpp
+++ b/packages/node/src/peers/PeerLink.cpp
@@ -13,7 +13,9 @@
 /// Pause after the first failed try, and its bound as it doubles.
 constexpr absl::Duration FirstPause = absl::Milliseconds(100);
 constexpr absl::Duration LongestPause = absl::Seconds(1);
-/// Silence after which a connection counts as dead: several reports of the gate are missing.
+/// Pause between two pings.
+constexpr absl::Duration PingPause = absl::Milliseconds(600);
+/// Time without an answer after which a connection counts as dead: three pings are missing.
 constexpr absl::Duration SilenceLimit = absl::Milliseconds(2000);
 
 } // namespace
@@ -87,6 +89,7 @@
     m_channel = std::make_shared<FrameChannel>(m_loop, std::move(m_connecting),
                                                static_cast<FrameObserver &>(*this));
     m_connecting = TcpSocket(m_loop.get_executor());
+    m_answered = steadyNow();
     m_channel->start();
     if (m_channel != nullptr)
         m_channel->send(m_observer.helloFor(m_host.host));
@@ -113,8 +116,18 @@
 
 void PeerLink::tick(absl::Time now)
 {
-    if (m_channel != nullptr && now - m_channel->heard() > SilenceLimit)
+    if (m_channel == nullptr)
+        return;
+    if (now - m_answered > SilenceLimit) {
         dropChannel("silent");
+        return;
+    }
+    if (m_isUp && now - m_pinged >= PingPause) {
+        m_pinged = now;
+        mesh::Frame frame;
+        frame.mutable_ping();
+        m_channel->send(frame);
+    }
 }
 
 void PeerLink::send(const mesh::Frame &frame)
@@ -166,10 +179,14 @@
             return;
         }
         m_isUp = true;
+        m_answered = steadyNow();
         m_pause = FirstPause;
         m_observer.linkOpened(*this);
         m_observer.linkFrame(*this, frame);
         break;
+    case mesh::Frame::kPong:
+        m_answered = steadyNow();
+        break;
     case mesh::Frame::kGateState:
         m_observer.gateReported(*this, decodeReport(frame.gate_state()));
         m_observer.linkFrame(*this, frame);
--- a/packages/node/src/peers/PeerLink.h
+++ b/packages/node/src/peers/PeerLink.h
@@ -34,8 +34,9 @@
 
 /// Keeps one connection to one peer, with a back-off between tries, and carries attempts on it.
 ///
-/// Silence is found by the gate's own regular reports. When the connection is lost, every open
-/// attempt ends as one that may have run.
+/// Silence is found by pings of its own, which the gate answers: reports that still come say nothing
+/// about the other direction. When the connection is lost, every open attempt ends as one that may
+/// have run.
 class PeerLink final : public AttemptGateway, private FrameObserver
 {
 public:
@@ -77,6 +78,8 @@
     absl::flat_hash_map<std::uint64_t, std::weak_ptr<AttemptObserver>> m_attempts;
     bool m_isUp = false; ///< The peer has said hello.
     bool m_isConnecting = false;
+    absl::Time m_pinged = absl::InfinitePast();
+    absl::Time m_answered; ///< When a frame that answers this side last came.
     absl::Duration m_pause;
     absl::Time m_downSince;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< False after destruction.
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -26,6 +26,8 @@
 constexpr absl::Duration LongestReportPause = absl::Milliseconds(500);
 /// Change in used slots, as a share of all slots, that is worth a report of its own.
 constexpr double WorthwhileChange = 0.1;
+/// Time without a frame after which the opener of a session is taken for gone: it pings every 0.6 s.
+constexpr absl::Duration SessionSilenceLimit = absl::Seconds(3);
 /// Pause after the first failed registration, and its bound as it doubles.
 constexpr absl::Duration FirstRegistrationPause = absl::Milliseconds(200);
 constexpr absl::Duration LongestRegistrationPause = absl::Seconds(1);
@@ -271,6 +273,7 @@
     }
     for (const HostId &host : gone)
         forget(host, "out-of-reach");
+    closeSilentSessions(now);
     if (now - m_lastBroadcast >= LongestReportPause)
         broadcastGate();
     else
@@ -280,6 +283,24 @@
     catchUp();
 }
 
+void PeerMesh::closeSilentSessions(absl::Time now)
+{
+    std::vector<std::shared_ptr<PeerSession>> silent;
+    for (const auto &[key, session] : m_sessions) {
+        if (now - session->heard() > SessionSilenceLimit)
+            silent.push_back(session);
+    }
+    for (const auto &session : silent) {
+        m_log.write("session-closed",
+                    LogLine("session-closed")
+                            .add("host", session->peer().value())
+                            .add("cause", "silent"),
+                    now);
+        session->close();
+        m_sessions.erase(session.get());
+    }
+}
+
 void PeerMesh::gateChanged(bool isUrgent)
 {
     const GateReport report = m_server.report();
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -86,6 +86,7 @@
     void learn(const PeerHost &host);
     void forget(const HostId &host, std::string_view cause);
     void broadcastGate();
+    void closeSilentSessions(absl::Time now);
     void sendGate(PeerSession &session);
     void askForConfiguration(PeerLink &link, Version above);
     /// Asks the peer that can best bring a newer version, if there is one.
--- a/packages/node/src/peers/PeerSession.cpp
+++ b/packages/node/src/peers/PeerSession.cpp
@@ -53,6 +53,12 @@
     case mesh::Frame::kGrantCredit:
         m_door.grant(AttemptId(frame.grant_credit().attempt()), frame.grant_credit().bytes());
         break;
+    case mesh::Frame::kPing: {
+        mesh::Frame answer;
+        answer.mutable_pong();
+        m_channel->send(answer);
+        break;
+    }
     default:
         m_observer.sessionFrame(*this, frame);
         break;
--- a/packages/node/src/store/StoreClient.cpp
+++ b/packages/node/src/store/StoreClient.cpp
@@ -39,7 +39,7 @@
 namespace {
 
 /// Time for an answer beyond the time that a watch waits. A slow store takes tenths of a second.
-constexpr absl::Duration AnswerTimeout = absl::Milliseconds(1500);
+constexpr absl::Duration AnswerTimeout = absl::Milliseconds(1000);
 /// Idle time up to which a connection to the store is used again.
 constexpr absl::Duration IdleLimit = absl::Seconds(3);
 
--- a/tests/traffic/ConfigurationWatchTests.cpp
+++ b/tests/traffic/ConfigurationWatchTests.cpp
@@ -32,6 +32,8 @@
         CHECK(step.delay > absl::ZeroDuration());
         CHECK(step.delay <= ConfigurationWatch::LongestBackoff);
         CHECK(watch.isFailing());
+        // A question that hangs is given up long before a version must be in force.
+        CHECK(step.wait == absl::ZeroDuration());
     }
     CHECK(watch.answered(WatchResult::Unchanged, 12).delay == absl::ZeroDuration());
     CHECK_FALSE(watch.isFailing());
