--- a/packages/decisions/src/serving/Gate.cpp
+++ b/packages/decisions/src/serving/Gate.cpp
@@ -14,6 +14,8 @@
 constexpr double MeanWeight = 0.1;
 /// Share of the slots that lesser ranks leave free at most for more urgent ranks in use.
 constexpr double HeadroomShare = 0.1;
+/// Service times are spread: of requests that wait until the mean still fits, half end late.
+constexpr double WaitingMargin = 1.3;
 /// Length of the window over which the demand of a rank counts as current.
 constexpr absl::Duration PeakWindow = absl::Seconds(1);
 
@@ -252,10 +254,14 @@
     const std::uint32_t limit = m_limit.current(now);
     const bool mayStartNow = mayStart(lane, limit) && m_lanes[lane].queue.isEmpty();
     const absl::Duration wait = mayStartNow ? absl::ZeroDuration() : queueWait(lane, limit);
+    if (now + service > call.deadline) {
+        step.refusals.push_back({ call.attempt, Reason::DeadlineUnmeetable, absl::ZeroDuration() });
+        return step;
+    }
     // A late request is not kept waiting for long: slots that are taken go to those in time.
-    const absl::Time latestStart = isInTime ? due - service : std::min(due - service,
-                                                                       now + service);
-    if (now + wait > latestStart) {
+    const absl::Time latestStart =
+            isInTime ? due - service * WaitingMargin : std::min(due - service, now + service);
+    if (!mayStartNow && now + wait > latestStart) {
         step.refusals.push_back({ call.attempt, Reason::DeadlineUnmeetable, wait });
         return step;
     }
--- a/packages/node/src/store/StoreClient.cpp
+++ b/packages/node/src/store/StoreClient.cpp
@@ -66,9 +66,10 @@
                 end(StoreAnswer());
         });
         const EncodedRequest encoded = m_client.m_protocol.encodeStoreRequest(m_request);
-        std::string text = absl::StrCat(encoded.method, " ", encoded.target, " HTTP/1.1\r\nHost: ",
-                                        m_client.m_store.address().to_string(), ":",
-                                        m_client.m_store.port(), "\r\n");
+        std::string text =
+                absl::StrCat(encoded.method, " ", encoded.target,
+                             " HTTP/1.1\r\nHost: ", m_client.m_store.address().to_string(), ":",
+                             m_client.m_store.port(), "\r\n");
         if (!encoded.body.empty())
             absl::StrAppend(&text, "Content-Type: application/json\r\nContent-Length: ",
                             encoded.body.size(), "\r\n");
@@ -133,7 +134,7 @@
 
 std::shared_ptr<BackendConnection> StoreClient::connection()
 {
-    const auto idle = std::move(m_idle);
+    auto idle = std::move(m_idle);
     m_idle.reset();
     if (idle != nullptr && idle->isReusable() && steadyNow() - idle->idleSince() < IdleLimit)
         return idle;
@@ -144,9 +145,8 @@
 
 void StoreClient::call(StoreRequest request, Done done)
 {
-    const auto position =
-            m_calls.insert(m_calls.end(),
-                           std::make_shared<Call>(*this, std::move(request), std::move(done)));
+    const auto position = m_calls.insert(
+            m_calls.end(), std::make_shared<Call>(*this, std::move(request), std::move(done)));
     (*position)->start(position);
 }
 
