--- a/packages/decisions/include/godwitlift/serving/Gate.h
+++ b/packages/decisions/include/godwitlift/serving/Gate.h
@@ -60,9 +60,9 @@
 
 /// The order in which waiting requests are chosen.
 enum class GateDiscipline : std::uint8_t {
-    Ranked,     ///< Urgent first, floors for the others, ceilings, headroom.
-    FirstCome,  ///< One queue for all; kept for comparison.
-    StrictRank, ///< Urgent first without floors or ceilings; kept for comparison.
+    Ranked,      ///< Urgent first, floors for the others, ceilings, headroom.
+    FirstCome,   ///< One queue for all; kept for comparison.
+    StrictRank,  ///< Urgent first without floors or ceilings; kept for comparison.
     FixedShares, ///< Each rank only within its floor's share; kept for comparison.
     InTimeFirst  ///< Urgent first; what can no longer meet its objective comes after all that can.
 };
--- a/packages/decisions/include/godwitlift/traffic/AttemptPolicy.h
+++ b/packages/decisions/include/godwitlift/traffic/AttemptPolicy.h
@@ -17,7 +17,7 @@
     Verdict verdict = Verdict::MayHaveRun; ///< Of this attempt.
     Verdict worst = Verdict::NotRun;       ///< Gravest verdict of all attempts of the request.
     Replay replay = Replay::AtMostOnce;
-    bool hasAnswerBegun = false; ///< Part of an answer has gone to the client.
+    bool hasAnswerBegun = false;      ///< Part of an answer has gone to the client.
     std::uint32_t serversReached = 0; ///< Attempts that reached a backend server.
     std::uint32_t attemptLimit = 1;
     absl::Duration left;            ///< Until the client's deadline or the route's timeout.
--- a/packages/decisions/include/godwitlift/traffic/ConfigurationReplica.h
+++ b/packages/decisions/include/godwitlift/traffic/ConfigurationReplica.h
@@ -13,8 +13,8 @@
 /// Everything that changed after one version, up to another one.
 struct ConfigurationChanges
 {
-    Version base;         ///< Changes after this one; 0 if the changes are the whole content.
-    Version version;      ///< The version that they lead to.
+    Version base;             ///< Changes after this one; 0 if the changes are the whole content.
+    Version version;          ///< The version that they lead to.
     std::uint64_t digest = 0; ///< Of that version.
     std::vector<SharedRoute> routes;
     std::vector<RouteId> removed;
--- a/packages/decisions/include/godwitlift/traffic/ConfigurationWatch.h
+++ b/packages/decisions/include/godwitlift/traffic/ConfigurationWatch.h
@@ -13,10 +13,10 @@
 /// The next question to the store.
 struct WatchStep
 {
-    bool isWatch = false;      ///< Wait for changes after `after`; otherwise read what is there.
+    bool isWatch = false; ///< Wait for changes after `after`; otherwise read what is there.
     std::uint64_t after = 0;
-    absl::Duration wait;       ///< How long the store may hold the question back.
-    absl::Duration delay;      ///< Pause before it is asked.
+    absl::Duration wait;  ///< How long the store may hold the question back.
+    absl::Duration delay; ///< Pause before it is asked.
 };
 
 /// What the last question brought.
--- a/packages/decisions/include/godwitlift/traffic/RouteCatalogue.h
+++ b/packages/decisions/include/godwitlift/traffic/RouteCatalogue.h
@@ -35,13 +35,13 @@
 {
     RouteId id;
     std::string hostName;
-    std::string prefix; ///< Begins and ends with '/'.
+    std::string prefix;                        ///< Begins and ends with '/'.
     std::vector<WeightedService> destinations; ///< Never empty.
     Replay replay = Replay::AtMostOnce;
-    bool isBulk = false;         ///< Large answers, judged by bytes more than by latency.
-    absl::Duration timeout;      ///< Longest time a request may wait for its answer.
-    absl::Duration objective;    ///< Latency within which an answer is worth its full credit.
-    int urgency = 0;             ///< 0 is the most urgent.
+    bool isBulk = false;            ///< Large answers, judged by bytes more than by latency.
+    absl::Duration timeout;         ///< Longest time a request may wait for its answer.
+    absl::Duration objective;       ///< Latency within which an answer is worth its full credit.
+    int urgency = 0;                ///< 0 is the most urgent.
     std::uint32_t attemptLimit = 1; ///< Backend servers that one request may be sent to.
 
     friend bool operator==(const TrafficRoute &, const TrafficRoute &) = default;
--- a/packages/decisions/include/godwitlift/traffic/ServerLifecycle.h
+++ b/packages/decisions/include/godwitlift/traffic/ServerLifecycle.h
@@ -7,17 +7,17 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
-#include <optional>
 #include <map>
+#include <optional>
 #include <string_view>
 
 namespace godwitlift {
 
 /// Whether a backend server takes new work.
 enum class ServerState : std::uint8_t {
-    Absent,   ///< None is known, or the last one has gone.
-    Ready,    ///< Takes work.
-    Draining  ///< Finishes what it has; gets nothing new.
+    Absent,  ///< None is known, or the last one has gone.
+    Ready,   ///< Takes work.
+    Draining ///< Finishes what it has; gets nothing new.
 };
 
 /// Stable lower-case name for logs.
--- a/packages/decisions/src/traffic/ConfigurationReplica.cpp
+++ b/packages/decisions/src/traffic/ConfigurationReplica.cpp
@@ -31,8 +31,8 @@
 
 } // namespace
 
-ReplicaResult ConfigurationReplica::acceptWhole(
-        const std::shared_ptr<const RouteCatalogue> &catalogue)
+ReplicaResult
+ConfigurationReplica::acceptWhole(const std::shared_ptr<const RouteCatalogue> &catalogue)
 {
     if (catalogue->version() <= version())
         return ReplicaResult::Stale;
@@ -78,8 +78,8 @@
         }
     }
     for (const auto &[id, route] : next->routes()) {
-        const auto before = m_current == nullptr ? next->routes().end()
-                                                 : m_current->routes().find(id);
+        const auto before =
+                m_current == nullptr ? next->routes().end() : m_current->routes().find(id);
         const bool isHeld = m_current != nullptr && before != m_current->routes().end()
                             && isSame(before->second, route);
         if (!isHeld)
--- a/packages/decisions/src/traffic/FinishTimeSelector.cpp
+++ b/packages/decisions/src/traffic/FinishTimeSelector.cpp
@@ -211,8 +211,8 @@
         statistics.meanBytes =
                 moved(statistics.meanBytes, static_cast<double>(answerBytes), RouteWeight);
         if (statistics.meanSeconds > 0) {
-            const double sample = std::clamp(seconds / statistics.meanSeconds, LeastSlowness,
-                                             MostSlowness);
+            const double sample =
+                    std::clamp(seconds / statistics.meanSeconds, LeastSlowness, MostSlowness);
             known.slowness += SlownessWeight * (sample - known.slowness);
         }
         known.failureShare *= 1 - FailureWeight;
--- a/packages/decisions/src/traffic/RouteCatalogue.cpp
+++ b/packages/decisions/src/traffic/RouteCatalogue.cpp
@@ -55,10 +55,10 @@
         sum += routeDigest(*route);
     for (const auto &[id, service] : m_services)
         sum += hashOf(absl::StrCat("service\n", id.value(), "\n", service.healthPath, "\n",
-                                       service.connectionLimit));
+                                   service.connectionLimit));
     sum += hashOf(absl::StrCat("limits\n", m_limits.headerBytes, " ", m_limits.bodyBytes, " ",
-                                   absl::ToInt64Microseconds(m_limits.headerTimeout), " ",
-                                   absl::ToInt64Microseconds(m_limits.idleTimeout)));
+                               absl::ToInt64Microseconds(m_limits.headerTimeout), " ",
+                               absl::ToInt64Microseconds(m_limits.idleTimeout)));
     return sum;
 }
 
--- a/packages/node/include/godwitlift/node/MeshNode.h
+++ b/packages/node/include/godwitlift/node/MeshNode.h
@@ -21,9 +21,8 @@
 
     /// Binds all addresses; fails with the address that cannot be bound. \p protocol must outlive
     /// the node. \p settingsFile is read again on a reload; empty for none.
-    static Result<std::unique_ptr<MeshNode>> create(MeshSettings settings,
-                                                    const PlatformProtocol &protocol,
-                                                    std::string settingsFile);
+    static Result<std::unique_ptr<MeshNode>>
+    create(MeshSettings settings, const PlatformProtocol &protocol, std::string settingsFile);
     /// Returns true if no request was left unanswered.
     virtual bool run() = 0;
 };
--- a/packages/node/include/godwitlift/node/MeshSettings.h
+++ b/packages/node/include/godwitlift/node/MeshSettings.h
@@ -20,7 +20,7 @@
     ZoneId zone;
     ServiceId service; ///< Of the backend server on this host.
     Address backendServer;
-    Address clients;   ///< Where clients and the backend server send their requests.
+    Address clients; ///< Where clients and the backend server send their requests.
     Address readiness;
     Address announcements;
     Address peers;
@@ -29,9 +29,9 @@
     Address metrics;
     Address store;
     std::size_t descriptorLimit = 1024;
-    std::uint32_t linkMbps = 0; ///< Bandwidth of the host's link; 0 is unknown.
+    std::uint32_t linkMbps = 0;          ///< Bandwidth of the host's link; 0 is unknown.
     absl::Duration announcementInterval; ///< Between two announcements of a backend server.
-    absl::Duration stopTimeout; ///< From SIGTERM until the process is killed.
+    absl::Duration stopTimeout;          ///< From SIGTERM until the process is killed.
     RetryBudgetRule retryRule;
 
     friend bool operator==(const MeshSettings &, const MeshSettings &) = default;
--- a/packages/node/include/godwitlift/node/RowStore.h
+++ b/packages/node/include/godwitlift/node/RowStore.h
@@ -42,9 +42,9 @@
 
     Kind kind = Kind::List;
     std::string table;
-    std::string key;   ///< Of Put and Remove.
-    std::string value; ///< Of Put.
-    std::string from;  ///< Of List: first key wanted.
+    std::string key;         ///< Of Put and Remove.
+    std::string value;       ///< Of Put.
+    std::string from;        ///< Of List: first key wanted.
     StoreRevision after = 0; ///< Of Watch: changes later than this one.
     absl::Duration wait;     ///< Of Watch: how long to wait for the first change.
 };
--- a/packages/node/src/gate/BackendConnection.cpp
+++ b/packages/node/src/gate/BackendConnection.cpp
@@ -65,22 +65,22 @@
         if (!error && self != nullptr && !self->m_isConnected)
             self->fail(Reason::ConnectFailed);
     });
-    m_socket.async_connect(m_server, [self = shared_from_this()](
-                                             const boost::system::error_code &error) {
-        self->m_connectTimer.cancel();
-        if (self->m_isClosed)
-            return;
-        boost::system::error_code blocking;
-        if (!error)
-            self->m_socket.non_blocking(true, blocking);
-        if (error || blocking) {
-            self->fail(Reason::ConnectFailed);
-            return;
-        }
-        self->m_isConnected = true;
-        configureConnection(self->m_socket);
-        self->writeRequest();
-    });
+    m_socket.async_connect(m_server,
+                           [self = shared_from_this()](const boost::system::error_code &error) {
+                               self->m_connectTimer.cancel();
+                               if (self->m_isClosed)
+                                   return;
+                               boost::system::error_code blocking;
+                               if (!error)
+                                   self->m_socket.non_blocking(true, blocking);
+                               if (error || blocking) {
+                                   self->fail(Reason::ConnectFailed);
+                                   return;
+                               }
+                               self->m_isConnected = true;
+                               configureConnection(self->m_socket);
+                               self->writeRequest();
+                           });
 }
 
 void BackendConnection::writeRequest()
@@ -141,8 +141,8 @@
     if (!m_isReading)
         return;
     boost::system::error_code failed;
-    const std::size_t size = m_socket.read_some(
-            asio::buffer(ReadScratch::data(), ReadScratch::Size), failed);
+    const std::size_t size =
+            m_socket.read_some(asio::buffer(ReadScratch::data(), ReadScratch::Size), failed);
     if (failed == asio::error::would_block || failed == asio::error::try_again) {
         waitReadable();
         return;
--- a/packages/node/src/gate/BackendConnection.h
+++ b/packages/node/src/gate/BackendConnection.h
@@ -77,7 +77,7 @@
     bool m_isClosed = false;
     bool m_isWaiting = false;
     bool m_isReading = true;
-    bool m_isWritten = false;  ///< The whole request has been sent.
+    bool m_isWritten = false; ///< The whole request has been sent.
     bool m_hasSentBytes = false;
     bool m_isHeadReported = false;
     bool m_isForeign = false; ///< The response being read belongs to another request.
--- a/packages/node/src/gate/LocalServer.cpp
+++ b/packages/node/src/gate/LocalServer.cpp
@@ -288,11 +288,11 @@
 
 std::string LocalServer::requestText(const AttemptOrder &order) const
 {
-    const auto left = std::max<std::int64_t>(1, absl::ToInt64Milliseconds(order.deadline
-                                                                          - steadyNow()));
-    std::string text = absl::StrCat(order.head, m_options.protocol.fieldNames().deadlineMs, ": ", left, "\r\n",
-                                    m_options.protocol.fieldNames().expectedServer, ": ",
-                                    m_lifecycle.id().value(), "\r\n\r\n");
+    const auto left =
+            std::max<std::int64_t>(1, absl::ToInt64Milliseconds(order.deadline - steadyNow()));
+    std::string text = absl::StrCat(order.head, m_options.protocol.fieldNames().deadlineMs, ": ",
+                                    left, "\r\n", m_options.protocol.fieldNames().expectedServer,
+                                    ": ", m_lifecycle.id().value(), "\r\n\r\n");
     text += *order.body;
     return text;
 }
@@ -312,9 +312,9 @@
     while (!m_idle.empty()) {
         auto connection = m_idle.back();
         const absl::Duration usable =
-                order.isIdempotent ? std::min(DefaultIdleTime,
-                                              connection->keepAlive() - KeepAliveMargin)
-                                   : FreshIdleTime;
+                order.isIdempotent
+                        ? std::min(DefaultIdleTime, connection->keepAlive() - KeepAliveMargin)
+                        : FreshIdleTime;
         if (connection->isReusable() && now - connection->idleSince() < usable) {
             m_idle.pop_back();
             return connection;
@@ -326,7 +326,7 @@
         m_idle.pop_back();
     }
     return std::make_shared<BackendConnection>(m_loop, m_options.address,
-                                              m_options.protocol.fieldNames());
+                                               m_options.protocol.fieldNames());
 }
 
 void LocalServer::release(const std::shared_ptr<BackendConnection> &connection)
@@ -432,9 +432,10 @@
     m_probe = std::make_shared<Probe>(*this);
     m_probe->connection = std::make_shared<BackendConnection>(m_loop, m_options.address,
                                                               m_options.protocol.fieldNames());
-    const std::string text = absl::StrCat("GET ", service->healthPath, " HTTP/1.1\r\nHost: ",
-                                          m_options.address.address().to_string(),
-                                          "\r\nConnection: close\r\n\r\n");
+    const std::string text =
+            absl::StrCat("GET ", service->healthPath,
+                         " HTTP/1.1\r\nHost: ", m_options.address.address().to_string(),
+                         "\r\nConnection: close\r\n\r\n");
     m_probe->connection->run(text, {}, false, *m_probe);
 }
 
--- a/packages/node/src/gate/LocalServer.h
+++ b/packages/node/src/gate/LocalServer.h
@@ -92,7 +92,7 @@
     ServerLifecycle m_lifecycle;
     Gate m_gate;
     absl::flat_hash_map<AttemptId, std::shared_ptr<GateRun>> m_runs; ///< Waiting and running.
-    std::vector<std::shared_ptr<BackendConnection>> m_idle; ///< The last used one last.
+    std::vector<std::shared_ptr<BackendConnection>> m_idle;          ///< The last used one last.
     std::shared_ptr<Probe> m_probe;
     bool m_isLeaving = false;
 };
--- a/packages/node/src/http/HttpMessage.cpp
+++ b/packages/node/src/http/HttpMessage.cpp
@@ -40,9 +40,8 @@
 bool isHopByHop(std::string_view fieldName, std::string_view connectionValue)
 {
     static constexpr std::array<std::string_view, 9> Names = {
-        "connection",          "keep-alive", "proxy-authenticate", "proxy-connection",
-        "proxy-authorization", "te",         "trailer",            "transfer-encoding",
-        "upgrade"
+        "connection", "keep-alive", "proxy-authenticate", "proxy-connection", "proxy-authorization",
+        "te",         "trailer",    "transfer-encoding",  "upgrade"
     };
     for (const std::string_view name : Names) {
         if (equalsIgnoringCase(fieldName, name))
@@ -77,8 +76,8 @@
 
 std::string_view reasonPhrase(unsigned status)
 {
-    const auto known = boost::beast::http::obsolete_reason(
-            boost::beast::http::int_to_status(status));
+    const auto known =
+            boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(status));
     return { known.data(), known.size() };
 }
 
--- a/packages/node/src/http/HttpServer.cpp
+++ b/packages/node/src/http/HttpServer.cpp
@@ -32,8 +32,7 @@
 {
     const auto connection = m_connection.lock();
     m_closes = !isKept() || connection == nullptr || connection->shouldClose();
-    absl::StrAppend(&m_out, "HTTP/1.1 ", status, " ", abslView(phrase), "\r\n",
-                    abslView(fields),
+    absl::StrAppend(&m_out, "HTTP/1.1 ", status, " ", abslView(phrase), "\r\n", abslView(fields),
                     m_closes ? "Connection: close\r\n" : "");
 }
 
@@ -170,9 +169,8 @@
 void HttpServer::sweep()
 {
     const absl::Time now = steadyNow();
-    const auto connections =
-            std::vector<std::shared_ptr<ServerConnection>>(m_connections.begin(),
-                                                           m_connections.end());
+    const auto connections = std::vector<std::shared_ptr<ServerConnection>>(m_connections.begin(),
+                                                                            m_connections.end());
     for (const auto &connection : connections)
         connection->sweep(now);
 }
--- a/packages/node/src/http/MessageParser.h
+++ b/packages/node/src/http/MessageParser.h
@@ -15,7 +15,7 @@
     NeedsMore,
     HeadComplete, ///< The head has just been completed; the body follows.
     Complete,
-    Malformed,   ///< No HTTP, or framing that two readers could understand differently.
+    Malformed, ///< No HTTP, or framing that two readers could understand differently.
     HeadTooLarge,
     BodyTooLarge
 };
--- a/packages/node/src/ingress/IngressCall.cpp
+++ b/packages/node/src/ingress/IngressCall.cpp
@@ -81,8 +81,8 @@
 
 void IngressCall::tryNext()
 {
-    const auto choice = m_service.m_selector.select(m_destination, m_route.id, m_tried,
-                                                    steadyNow());
+    const auto choice =
+            m_service.m_selector.select(m_destination, m_route.id, m_tried, steadyNow());
     if (!choice) {
         conclude(m_worst == Verdict::NotRun ? NextStep::Refuse : NextStep::Fail,
                  Reason::NoBackendServer, returnAdvice());
@@ -102,8 +102,8 @@
     m_service.m_selector.sent(choice.host);
     AttemptGateway *gateway = m_service.m_gateways.gatewayTo(choice.host);
     if (gateway == nullptr) {
-        attemptFailed(m_attempt, { Verdict::NotRun, Reason::ConnectFailed, false,
-                                   absl::ZeroDuration() });
+        attemptFailed(m_attempt,
+                      { Verdict::NotRun, Reason::ConnectFailed, false, absl::ZeroDuration() });
         return;
     }
     AttemptOrder order;
--- a/packages/node/src/ingress/IngressService.cpp
+++ b/packages/node/src/ingress/IngressService.cpp
@@ -20,8 +20,7 @@
 std::optional<absl::Duration> parseMilliseconds(std::optional<std::string_view> text)
 {
     std::int64_t value = 0;
-    if (!text || !absl::SimpleAtoi(abslView(*text), &value)
-        || value < 0)
+    if (!text || !absl::SimpleAtoi(abslView(*text), &value) || value < 0)
         return std::nullopt;
     return absl::Milliseconds(value);
 }
@@ -101,9 +100,9 @@
     const auto patience = parseMilliseconds(head.fields.find(m_options.names.deadlineMs));
     const ServiceId destination = m_split.next(*route);
     budget(destination).requestArrived(steadyNow());
-    const auto call = std::make_shared<IngressCall>(*this, exchange, m_catalogue, *route,
-                                                    destination, std::string(*id),
-                                                    patience.value_or(route->timeout));
+    const auto call =
+            std::make_shared<IngressCall>(*this, exchange, m_catalogue, *route, destination,
+                                          std::string(*id), patience.value_or(route->timeout));
     call->start();
 }
 
--- a/packages/node/src/peers/PeerLink.h
+++ b/packages/node/src/peers/PeerLink.h
@@ -34,9 +34,9 @@
 
 /// Keeps one connection to one peer, with a back-off between tries, and carries attempts on it.
 ///
-/// Silence is found by pings of its own, which the gate answers: reports that still come say nothing
-/// about the other direction. When the connection is lost, every open attempt ends as one that may
-/// have run.
+/// Silence is found by pings of its own, which the gate answers: reports that still come say
+/// nothing about the other direction. When the connection is lost, every open attempt ends as one
+/// that may have run.
 class PeerLink final : public AttemptGateway, private FrameObserver
 {
 public:
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -26,7 +26,8 @@
 constexpr absl::Duration LongestReportPause = absl::Milliseconds(500);
 /// Change in used slots, as a share of all slots, that is worth a report of its own.
 constexpr double WorthwhileChange = 0.1;
-/// Time without a frame after which the opener of a session is taken for gone: it pings every 0.6 s.
+/// Time without a frame after which the opener of a session is taken for gone: it pings every 0.6
+/// s.
 constexpr absl::Duration SessionSilenceLimit = absl::Seconds(3);
 /// Pause after the first failed registration, and its bound as it doubles.
 constexpr absl::Duration FirstRegistrationPause = absl::Milliseconds(200);
@@ -47,10 +48,11 @@
 
 std::string encodeRow(const PeerHost &host)
 {
-    return nlohmann::json{ { "host", host.host.value() },
-                           { "address", host.address.value() },
-                           { "zone", host.zone.value() } }
-            .dump();
+    return nlohmann::json{
+        { "host", host.host.value() },
+        { "address", host.address.value() },
+        { "zone", host.zone.value() }
+    }.dump();
 }
 
 /// None for a row that another writer left or that cannot be read.
@@ -73,9 +75,9 @@
 
 } // namespace
 
-PeerMesh::PeerMesh(asio::io_context &loop, Options options, StoreClient &store,
-                   LocalServer &server, FinishTimeSelector &selector, DecisionLog &log,
-                   NodeMetrics &metrics, RandomSource &random)
+PeerMesh::PeerMesh(asio::io_context &loop, Options options, StoreClient &store, LocalServer &server,
+                   FinishTimeSelector &selector, DecisionLog &log, NodeMetrics &metrics,
+                   RandomSource &random)
     : m_loop(loop)
     , m_options(std::move(options))
     , m_store(store)
@@ -123,9 +125,9 @@
         if (error == asio::error::operation_aborted || !m_acceptor.is_open())
             return;
         if (!error) {
-            auto session = std::make_shared<PeerSession>(
-                    m_loop, std::move(socket), m_server, m_nextSource++,
-                    static_cast<PeerSessionObserver &>(*this));
+            auto session = std::make_shared<PeerSession>(m_loop, std::move(socket), m_server,
+                                                         m_nextSource++,
+                                                         static_cast<PeerSessionObserver &>(*this));
             m_sessions[session.get()] = session;
             session->start();
         }
@@ -347,8 +349,7 @@
 void PeerMesh::helloReceived(const mesh::Hello &hello)
 {
     if (!hello.drained_server().empty())
-        m_server.recallDrained(BackendServerId(hello.drained_server()),
-                               hello.drained_started_ms());
+        m_server.recallDrained(BackendServerId(hello.drained_server()), hello.drained_started_ms());
 }
 
 void PeerMesh::linkOpened(PeerLink &link)
@@ -407,8 +408,7 @@
     bool isBehind = false;
     for (const auto &[host, state] : m_peerStates) {
         const auto link = m_links.find(host);
-        if (link == m_links.end() || !link->second->isUp()
-            || state.version <= m_keeper->version())
+        if (link == m_links.end() || !link->second->isUp() || state.version <= m_keeper->version())
             continue;
         isBehind = true;
         // Links between zones are dear; nodes of the own zone bring a version soon after.
@@ -439,8 +439,9 @@
         // A large answer takes its time on the link. Who asks meanwhile asks another node soon.
         if (now < m_servedLarge)
             return;
-        m_servedLarge = now + absl::Seconds(static_cast<double>(size) * 8
-                                            / (m_options.linkMbps * ServingShare * 1e6));
+        m_servedLarge = now
+                        + absl::Seconds(static_cast<double>(size) * 8
+                                        / (m_options.linkMbps * ServingShare * 1e6));
     }
     session.send(frame);
 }
@@ -531,9 +532,9 @@
     request.kind = StoreRequest::Kind::Put;
     request.table = DrainTable;
     request.key = m_options.self.host.value();
-    request.value = nlohmann::json{ { "server", record.server.value() },
-                                    { "started_ms", record.startedUnixMs } }
-                            .dump();
+    request.value = nlohmann::json{
+        { "server", record.server.value() }, { "started_ms", record.startedUnixMs }
+    }.dump();
     m_store.call(std::move(request), [this, server = record.server](const StoreAnswer &answer) {
         if (answer.outcome == StoreOutcome::Done)
             settleDrains([&](const PendingDrain &drain) { return drain.record.server == server; });
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -27,9 +27,7 @@
 ///
 /// Hosts are found by rows in the store: a node writes its own row and then reads all, so that of
 /// any two nodes the later one sees the earlier one, and tells it by its hello.
-class PeerMesh final : public GatewayLookup,
-                       private PeerLinkObserver,
-                       private PeerSessionObserver
+class PeerMesh final : public GatewayLookup, private PeerLinkObserver, private PeerSessionObserver
 {
 public:
     struct Options
@@ -125,7 +123,7 @@
     std::map<HostId, DrainRecord> m_drainMemory; ///< Of other hosts.
     std::map<HostId, NodeState> m_peerStates;    ///< As reported on the links that are up.
     absl::Time m_askedForConfiguration = absl::InfinitePast();
-    absl::Time m_servedLarge = absl::InfinitePast(); ///< When the last large answer is sent.
+    absl::Time m_servedLarge = absl::InfinitePast();   ///< When the last large answer is sent.
     absl::Time m_behindSince = absl::InfiniteFuture(); ///< Since when a peer holds a newer version.
     std::vector<PendingDrain> m_pendingDrains;
     GateReport m_lastReport;
--- a/packages/node/src/report/NodeMetrics.cpp
+++ b/packages/node/src/report/NodeMetrics.cpp
@@ -47,8 +47,8 @@
                                            "Time from a request's arrival to its answer");
     Family<Counter> &attempts = counter(registry, "godwitlift_attempts_total",
                                         "Attempts at gates by verdict and reason");
-    Family<Histogram> &service = histogram(registry, "godwitlift_service_seconds",
-                                           "Time at the backend server");
+    Family<Histogram> &service =
+            histogram(registry, "godwitlift_service_seconds", "Time at the backend server");
     Family<Counter> &retries =
             counter(registry, "godwitlift_retries_total", "Repeated attempts by reason");
     Family<Counter> &refusals = counter(registry, "godwitlift_gate_refusals_total",
@@ -111,8 +111,7 @@
 
 void NodeMetrics::storeCall(std::string_view call, std::string_view outcome)
 {
-    m_families->store
-            .Add({ { "call", std::string(call) }, { "outcome", std::string(outcome) } })
+    m_families->store.Add({ { "call", std::string(call) }, { "outcome", std::string(outcome) } })
             .Increment();
 }
 
--- a/packages/node/src/runtime/AnnouncementService.cpp
+++ b/packages/node/src/runtime/AnnouncementService.cpp
@@ -7,8 +7,8 @@
 namespace godwitlift {
 
 AnnouncementService::AnnouncementService(const PlatformProtocol &protocol, ServiceId service,
-                                         Address backendServer, LocalServer &server,
-                                         PeerMesh &mesh, DecisionLog &log, NodeMetrics &metrics)
+                                         Address backendServer, LocalServer &server, PeerMesh &mesh,
+                                         DecisionLog &log, NodeMetrics &metrics)
     : m_protocol(protocol)
     , m_service(std::move(service))
     , m_backendServer(std::move(backendServer))
@@ -76,9 +76,9 @@
         return;
     }
     if (call->service != m_service || call->address != m_backendServer) {
-        refuse(exchange, absl::StrCat("announces service ", call->service.value(), " at ",
-                                      call->address.value(),
-                                      ", which is not this host's backend server"));
+        refuse(exchange,
+               absl::StrCat("announces service ", call->service.value(), " at ",
+                            call->address.value(), ", which is not this host's backend server"));
         return;
     }
     const LifecycleChange change = m_server.announced(announcement);
--- a/packages/node/src/runtime/ConfigurationKeeper.cpp
+++ b/packages/node/src/runtime/ConfigurationKeeper.cpp
@@ -35,8 +35,9 @@
         return;
     m_isWatching = isWatching;
     m_log.write("watching",
-                LogLine("watching").add("active", isWatching ? "yes" : "no").add("version",
-                                                                               version().value()),
+                LogLine("watching")
+                        .add("active", isWatching ? "yes" : "no")
+                        .add("version", version().value()),
                 steadyNow());
     if (m_isWatching && !m_isAsking)
         ask(m_next);
@@ -79,8 +80,9 @@
     m_next = m_watch.answered(result, answer.revision);
     m_lastAnswer = steadyNow();
     if (wasFailing != m_watch.isFailing()) {
-        m_log.write("store", LogLine(m_watch.isFailing() ? "store-lost" : "store-regained")
-                                     .add("outcome", name(answer.outcome)),
+        m_log.write("store",
+                    LogLine(m_watch.isFailing() ? "store-lost" : "store-regained")
+                            .add("outcome", name(answer.outcome)),
                     steadyNow());
     }
     for (const StoreRow &row : answer.rows) {
@@ -93,8 +95,7 @@
 void ConfigurationKeeper::offer(std::string_view text)
 {
     std::string problem;
-    const auto catalogue =
-            valueOr([&] { return m_protocol.decodeConfiguration(text); }, problem);
+    const auto catalogue = valueOr([&] { return m_protocol.decodeConfiguration(text); }, problem);
     if (!catalogue) {
         m_metrics.undecodable("configuration");
         m_log.write("configuration-refused",
--- a/packages/node/src/runtime/ConfigurationKeeper.h
+++ b/packages/node/src/runtime/ConfigurationKeeper.h
@@ -57,8 +57,8 @@
     ConfigurationReplica m_replica;
     LoopTimer m_timer;
     bool m_isWatching = true;
-    bool m_isAsking = false; ///< A call is under way or due.
-    WatchStep m_next;        ///< The next call, when watching goes on.
+    bool m_isAsking = false;                        ///< A call is under way or due.
+    WatchStep m_next;                               ///< The next call, when watching goes on.
     absl::Time m_lastAnswer = absl::InfinitePast(); ///< Of the store, good or bad.
 };
 
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -406,9 +406,8 @@
 
 } // namespace
 
-Result<std::unique_ptr<MeshNode>> MeshNode::create(MeshSettings settings,
-                                                   const PlatformProtocol &protocol,
-                                                   std::string settingsFile)
+Result<std::unique_ptr<MeshNode>>
+MeshNode::create(MeshSettings settings, const PlatformProtocol &protocol, std::string settingsFile)
 {
     auto node = std::make_unique<Node>(std::move(settings), protocol, std::move(settingsFile));
     BOOST_LEAF_CHECK(node->listen());
--- a/packages/node/src/runtime/MeshSettings.cpp
+++ b/packages/node/src/runtime/MeshSettings.cpp
@@ -21,7 +21,8 @@
 {
     const std::string text = reader.text(key);
     absl::Duration duration;
-    if (!text.empty() && (!absl::ParseDuration(text, &duration) || duration <= absl::ZeroDuration()))
+    if (!text.empty()
+        && (!absl::ParseDuration(text, &duration) || duration <= absl::ZeroDuration()))
         reader.fault(key, "is no positive duration such as \"1500ms\"");
     return duration;
 }
@@ -31,8 +32,7 @@
 {
     ObjectReader reader(object, "limits", faults);
     settings.descriptorLimit = reader.requiredInteger("descriptors", 256, 1'000'000);
-    settings.linkMbps =
-            static_cast<std::uint32_t>(reader.number("link_mbps", 0, 1e6, 0));
+    settings.linkMbps = static_cast<std::uint32_t>(reader.number("link_mbps", 0, 1e6, 0));
     reader.finish();
 }
 
