--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,8 +22,9 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 NODE = os.path.join(os.environ.get("GODWITLIFT_BUILD", os.path.join(ROOT, "build")),
                     "packages", "godwitliftd", "godwitliftd")
-FIRST_PORT = 21000
 PORTS_PER_HOST = 8
+# Runs beside each other use ports of their own, below those that the kernel hands out.
+FIRST_PORT = 21000 + 160 * (os.getpid() % 70)
 STORE_PORT = FIRST_PORT - 10
 SERVICES = ("desk", "ledger")
 # Bounds of the promises, in seconds: those of the users' deployments.
