Answer calls that are still open when a node must stop

Change: 500 ms before the stop timeout every open call gets its final answer: 502 while an attempt is open, for it may have run. 250 ms instead of 150 ms are kept for closing. Test: 'calls that are open when the node must stop get a final answer'; with an empty concludeOpenCalls() it failed, with the change it passes.

--- a/packages/node/src/ingress/IngressCall.cpp
+++ b/packages/node/src/ingress/IngressCall.cpp
@@ -44,12 +44,12 @@
     , m_deadline(m_exchange->arrived() + std::min(patience, route.timeout))
     , m_timer(service.m_loop.get_executor())
 {
-    ++m_service.m_callCount;
+    m_service.m_calls.insert(this);
 }
 
 IngressCall::~IngressCall()
 {
-    --m_service.m_callCount;
+    m_service.m_calls.erase(this);
 }
 
 void IngressCall::start()
@@ -281,6 +281,16 @@
 }
 
 void IngressCall::deadlinePassed()
+{
+    giveUp(Reason::DeadlineExpired);
+}
+
+void IngressCall::nodeStopping()
+{
+    giveUp(Reason::Draining);
+}
+
+void IngressCall::giveUp(Reason reason)
 {
     const auto self = m_self;
     if (m_attempt != AttemptId()) {
@@ -288,8 +298,7 @@
         m_worst = std::max(m_worst, Verdict::MayHaveRun);
         cancelAttempt();
     }
-    conclude(m_isStreaming ? NextStep::CutOff : NextStep::Fail, Reason::DeadlineExpired,
-             absl::ZeroDuration());
+    conclude(m_isStreaming ? NextStep::CutOff : NextStep::Fail, reason, absl::ZeroDuration());
 }
 
 void IngressCall::conclude(NextStep step, Reason reason, absl::Duration retryAfter)
--- a/packages/node/src/ingress/IngressCall.h
+++ b/packages/node/src/ingress/IngressCall.h
@@ -23,6 +23,8 @@
     ~IngressCall() override;
 
     void start();
+    /// Ends the call although its attempt is still open.
+    void nodeStopping();
 
     void clientGone() override;
     void answerDrained(std::size_t bytes) override;
@@ -44,6 +46,7 @@
     void sendTo(const SelectedHost &choice);
     void attemptOver(AttemptOutcome outcome, absl::Duration service);
     void deadlinePassed();
+    void giveUp(Reason reason);
     void beginStreaming();
     void conclude(NextStep step, Reason reason, absl::Duration retryAfter);
     void refuse(unsigned status, Reason reason, absl::Duration retryAfter);
--- a/packages/node/src/ingress/IngressService.cpp
+++ b/packages/node/src/ingress/IngressService.cpp
@@ -9,6 +9,8 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_format.h>
 
+#include <vector>
+
 namespace godwitlift {
 
 namespace {
@@ -51,6 +53,15 @@
     m_budgets.clear();
 }
 
+void IngressService::concludeOpenCalls()
+{
+    std::vector<std::shared_ptr<IngressCall>> open;
+    for (IngressCall *call : m_calls)
+        open.push_back(call->shared_from_this());
+    for (const auto &call : open)
+        call->nodeStopping();
+}
+
 AttemptId IngressService::nextAttempt()
 {
     return AttemptId(++m_lastAttempt);
--- a/packages/node/src/ingress/IngressService.h
+++ b/packages/node/src/ingress/IngressService.h
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <unordered_set>
 
 namespace godwitlift {
 
@@ -50,7 +51,9 @@
     void setRetryRule(const RetryBudgetRule &rule);
     void handle(const std::shared_ptr<Exchange> &exchange) override;
     void requestRejected(unsigned status) override;
-    std::size_t callCount() const { return m_callCount; }
+    std::size_t callCount() const { return m_calls.size(); }
+    /// Gives every open call its final answer, for a node that must stop now.
+    void concludeOpenCalls();
 
 private:
     friend class IngressCall;
@@ -70,7 +73,7 @@
     TrafficSplit m_split;
     std::map<ServiceId, WindowedRetryBudget> m_budgets;
     std::uint64_t m_lastAttempt = 0;
-    std::size_t m_callCount = 0;
+    std::unordered_set<IngressCall *> m_calls; ///< From their construction to their end.
 };
 
 } // namespace godwitlift
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -33,8 +33,10 @@
 /// After SIGTERM the node takes requests until its readiness has led the clients away: the
 /// platform asks once a second, and two refusals in a row count.
 constexpr absl::Duration LeaveNotice = absl::Milliseconds(2300);
+/// Part of the stop timeout that is kept for the final answers of calls that are still open.
+constexpr absl::Duration ConclusionMargin = absl::Milliseconds(500);
 /// Part of the stop timeout that is kept for closing.
-constexpr absl::Duration StopMargin = absl::Milliseconds(150);
+constexpr absl::Duration StopMargin = absl::Milliseconds(250);
 
 /// Answers the platform's question whether clients may come.
 class ReadinessService final : public HttpHandler
@@ -367,8 +369,11 @@
         }
         const bool isBusy = m_ingress.callCount() > 0 || m_server.runningCount() > 0
                             || m_clientServer.hasUnsent() || m_mesh.hasUnsent();
-        if (isBusy && since < m_settings.stopTimeout - StopMargin)
+        if (isBusy && since < m_settings.stopTimeout - StopMargin) {
+            if (since >= m_settings.stopTimeout - ConclusionMargin)
+                m_ingress.concludeOpenCalls();
             return;
+        }
         m_loop.stop();
     }
 
--- a/tests/node/RequestPathTests.cpp
+++ b/tests/node/RequestPathTests.cpp
@@ -381,3 +381,24 @@
     running.write(answer("r1", "one"));
     path.until([&] { return contains(client.received, "one"); });
 }
+
+TEST_CASE("calls that are open when the node must stop get a final answer")
+{
+    Path path;
+    path.configure();
+    Peer &kept = path.client();
+    Peer &paying = path.client();
+    kept.write(get("/look/x", "r1"));
+    path.serverWith("r1");
+    paying.write("POST /pay/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: r2\r\n"
+                 "Content-Length: 3\r\n\r\nabc");
+    path.serverWith("abc");
+    path.front.beginClosing();
+    path.ingress.concludeOpenCalls();
+    path.until([&] { return kept.isEnded && paying.isEnded; });
+    // Both were at work: a refusal would claim that they have not run.
+    CHECK(contains(kept.received, "HTTP/1.1 502"));
+    CHECK(contains(paying.received, "HTTP/1.1 502"));
+    CHECK(path.ingress.callCount() == 0);
+    CHECK(path.server.runningCount() == 0);
+}
