Say where the time of an answered request went; model dispatch in virtual time

Cause: a late answer could not be traced to a hop: the log gave one latency. Change: the gate sends back the time in its queue beside the time at the backend server.

--- /dev/null
+++ b/bench/DispatchBench.cpp
@@ -0,0 +1,56 @@
+/// \file
+/// Experiments on the dispatch of requests in virtual time: one line per scenario and load, over
+/// several seeds. The same options give the same lines on every machine.
+#include "DispatchModel.h"
+
+#include <CLI/CLI.hpp>
+#include <absl/strings/str_format.h>
+
+#include <iostream>
+
+int main(int argc, char **argv)
+{
+    using namespace godwitlift;
+    CLI::App app("Plays the dispatch model over loads and seeds");
+    DispatchScenario scenario;
+    int seeds = 5;
+    std::vector<double> loads = { 0.5, 0.7, 0.9, 1.1 };
+    std::vector<double> shedShares = { 0, 0.5 };
+    int pauseMs = 340;
+    app.add_option("--seeds", seeds, "Seeds per line");
+    app.add_option("--loads", loads, "Offered work over all slots");
+    app.add_option("--shed", shedShares, "Shares of requests that servers refuse");
+    app.add_option("--hosts", scenario.hosts, "Hosts");
+    app.add_option("--pause-ms", pauseMs, "Pause between two reports of a gate");
+    app.add_option("--limit-floor", scenario.limitFloor, "Slots that shedding leaves");
+    app.add_option("--turned-away", scenario.turnedAwayLimit, "Refusals by gates per request");
+    CLI11_PARSE(app, argc, argv);
+    scenario.reportPause = absl::Milliseconds(pauseMs);
+    std::cout << "| load | shed | in time | late | refused | gate refusals a request | p99 ms |\n"
+                 "|---|---|---|---|---|---|---|\n";
+    for (const double shed : shedShares) {
+        for (const double load : loads) {
+            DispatchResult sum;
+            for (int seed = 1; seed <= seeds; ++seed) {
+                scenario.seed = static_cast<std::uint64_t>(seed);
+                scenario.utilization = load;
+                scenario.shedShare = shed;
+                const DispatchResult result = DispatchModel(scenario).run();
+                sum.offered += result.offered;
+                sum.inTime += result.inTime;
+                sum.late += result.late;
+                sum.refused += result.refused;
+                sum.gateRefusals += result.gateRefusals;
+                sum.p99 += result.p99 / seeds;
+            }
+            const auto share = [&](std::uint64_t count) {
+                return static_cast<double>(count) / static_cast<double>(sum.offered);
+            };
+            std::cout << absl::StrFormat("| %.2f | %.2f | %.3f | %.3f | %.3f | %.3f | %d |\n", load,
+                                         shed, share(sum.inTime), share(sum.late),
+                                         share(sum.refused), share(sum.gateRefusals),
+                                         absl::ToInt64Milliseconds(sum.p99));
+        }
+    }
+    return 0;
+}
--- a/packages/node/src/gate/Attempt.h
+++ b/packages/node/src/gate/Attempt.h
@@ -39,6 +39,13 @@
     bool isSealed = false; ///< Carries the backend server's signature.
 };
 
+/// Where the time of an attempt went at the gate's side.
+struct GateTimes
+{
+    absl::Duration wait;    ///< From the arrival at the gate to the start.
+    absl::Duration service; ///< From the start at the backend server to the end of its answer.
+};
+
 /// An attempt that ended without a whole answer.
 struct AttemptFailure
 {
@@ -55,8 +62,7 @@
     virtual ~AttemptObserver() = default;
     virtual void answerHead(AttemptId id, AnswerHead head) = 0;
     virtual void answerBody(AttemptId id, std::string data) = 0;
-    /// \p service is the time from the start at the backend server to the end of its answer.
-    virtual void answerComplete(AttemptId id, absl::Duration service) = 0;
+    virtual void answerComplete(AttemptId id, const GateTimes &times) = 0;
     virtual void attemptFailed(AttemptId id, const AttemptFailure &failure) = 0;
 };
 
--- a/packages/node/src/gate/LocalServer.cpp
+++ b/packages/node/src/gate/LocalServer.cpp
@@ -138,10 +138,10 @@
             report({ Verdict::MayHaveRun, Reason::AnswerMismatched, true, absl::ZeroDuration() });
             return;
         }
-        const absl::Duration service = steadyNow() - m_started;
+        const GateTimes times{ m_started - m_arrived, steadyNow() - m_started };
         m_server.runEnded(*this, RunEnd::Answered);
         if (const auto observer = m_observer.lock())
-            observer->answerComplete(sourceId(), service);
+            observer->answerComplete(sourceId(), times);
     }
 
     void exchangeFailed(Reason reason, bool wasSent) override
@@ -159,6 +159,7 @@
     AttemptOrder m_order;
     std::weak_ptr<AttemptObserver> m_observer;
     std::shared_ptr<BackendConnection> m_connection; ///< Set from the start on.
+    absl::Time m_arrived = steadyNow();
     absl::Time m_started;
     std::size_t m_unacknowledged = 0; ///< Body bytes passed on and not granted yet.
     unsigned m_refusedStatus = 0;     ///< The backend server says that it did not run the request.
--- a/packages/node/src/ingress/IngressCall.cpp
+++ b/packages/node/src/ingress/IngressCall.cpp
@@ -96,6 +96,7 @@
     m_host = choice.host;
     m_tried.insert(choice.host);
     m_attempt = m_service.nextAttempt();
+    m_attemptBegan = steadyNow();
     m_head.reset();
     m_held.clear();
     m_answerBytes = 0;
@@ -180,14 +181,16 @@
     m_exchange->write(held);
 }
 
-void IngressCall::answerComplete(AttemptId id, absl::Duration service)
+void IngressCall::answerComplete(AttemptId id, const GateTimes &times)
 {
     if (id != m_attempt || !m_head)
         return;
     const auto self = m_self;
     const bool isServerError = m_head->status >= 500;
-    attemptOver(isServerError ? AttemptOutcome::Failed : AttemptOutcome::Answered, service);
-    m_service.m_metrics.attemptEnded(Verdict::Ran, Reason::None, service);
+    attemptOver(isServerError ? AttemptOutcome::Failed : AttemptOutcome::Answered, times.service);
+    m_times = times;
+    m_service.m_metrics.attemptEnded(Verdict::Ran, Reason::None, steadyNow() - m_attemptBegan,
+                                     times);
     ++m_serversReached;
     if (isServerError && !m_isStreaming && m_route.replay == Replay::Idempotent) {
         const Verdict before = m_worst;
@@ -249,7 +252,8 @@
     const auto self = m_self;
     attemptOver(failure.reachedServer ? AttemptOutcome::Failed : AttemptOutcome::Refused,
                 absl::ZeroDuration());
-    m_service.m_metrics.attemptEnded(failure.verdict, failure.reason, absl::ZeroDuration());
+    m_service.m_metrics.attemptEnded(failure.verdict, failure.reason, steadyNow() - m_attemptBegan,
+                                     {});
     if (failure.reachedServer)
         ++m_serversReached;
     else
@@ -343,7 +347,10 @@
                 .add("servers", m_serversReached)
                 .add("turned_away", m_turnedAway)
                 .add("version", m_catalogue->version().value())
-                .add("latency_ms", latency);
+                .add("latency_ms", latency)
+                .add("attempt_ms", now - m_attemptBegan)
+                .add("wait_ms", m_times.wait)
+                .add("service_ms", m_times.service);
         m_service.m_log.write(isSuccess ? "request-ended" : name(reason), line, now);
     }
     m_timer.cancel();
--- a/packages/node/src/ingress/IngressCall.h
+++ b/packages/node/src/ingress/IngressCall.h
@@ -30,7 +30,7 @@
     void answerDrained(std::size_t bytes) override;
     void answerHead(AttemptId id, AnswerHead head) override;
     void answerBody(AttemptId id, std::string data) override;
-    void answerComplete(AttemptId id, absl::Duration service) override;
+    void answerComplete(AttemptId id, const GateTimes &times) override;
     void attemptFailed(AttemptId id, const AttemptFailure &failure) override;
 
 private:
@@ -72,6 +72,8 @@
     std::set<HostId> m_tried;
     std::uint32_t m_serversReached = 0;
     std::uint32_t m_turnedAway = 0;
+    absl::Time m_attemptBegan;
+    GateTimes m_times;                 ///< Of the attempt that brought the answer.
     Verdict m_worst = Verdict::NotRun; ///< Gravest verdict of the ended attempts.
 
     std::optional<AnswerHead> m_head;
--- a/packages/node/src/peers/PeerLink.cpp
+++ b/packages/node/src/peers/PeerLink.cpp
@@ -214,7 +214,8 @@
         m_attempts.erase(frame.answer_end().attempt());
         if (observer != nullptr)
             observer->answerComplete(AttemptId(frame.answer_end().attempt()),
-                                     absl::Microseconds(frame.answer_end().service_us()));
+                                     { absl::Microseconds(frame.answer_end().wait_us()),
+                                       absl::Microseconds(frame.answer_end().service_us()) });
         m_observer.loadReported(*this, frame.answer_end().running(), frame.answer_end().queued());
         break;
     }
--- a/packages/node/src/peers/PeerSession.cpp
+++ b/packages/node/src/peers/PeerSession.cpp
@@ -78,14 +78,15 @@
     m_channel->send(frame);
 }
 
-void PeerSession::answerComplete(AttemptId id, absl::Duration service)
+void PeerSession::answerComplete(AttemptId id, const GateTimes &times)
 {
     m_attempts.erase(id.value());
     const GateReport report = m_server.report();
     mesh::Frame frame;
     mesh::AnswerEnd &message = *frame.mutable_answer_end();
     message.set_attempt(id.value());
-    message.set_service_us(static_cast<std::uint32_t>(absl::ToInt64Microseconds(service)));
+    message.set_service_us(static_cast<std::uint32_t>(absl::ToInt64Microseconds(times.service)));
+    message.set_wait_us(static_cast<std::uint32_t>(absl::ToInt64Microseconds(times.wait)));
     message.set_running(report.running);
     message.set_queued(report.queued);
     m_channel->send(frame);
--- a/packages/node/src/peers/PeerSession.h
+++ b/packages/node/src/peers/PeerSession.h
@@ -44,7 +44,7 @@
 
     void answerHead(AttemptId id, AnswerHead head) override;
     void answerBody(AttemptId id, std::string data) override;
-    void answerComplete(AttemptId id, absl::Duration service) override;
+    void answerComplete(AttemptId id, const GateTimes &times) override;
     void attemptFailed(AttemptId id, const AttemptFailure &failure) override;
 
 private:
--- a/packages/node/src/report/NodeMetrics.cpp
+++ b/packages/node/src/report/NodeMetrics.cpp
@@ -47,8 +47,8 @@
                                            "Time from a request's arrival to its answer");
     Family<Counter> &attempts = counter(registry, "godwitlift_attempts_total",
                                         "Attempts at gates by verdict and reason");
-    Family<Histogram> &service =
-            histogram(registry, "godwitlift_service_seconds", "Time at the backend server");
+    Family<Histogram> &hops =
+            histogram(registry, "godwitlift_hop_seconds", "Time of answered attempts by hop");
     Family<Counter> &retries =
             counter(registry, "godwitlift_retries_total", "Repeated attempts by reason");
     Family<Counter> &refusals = counter(registry, "godwitlift_gate_refusals_total",
@@ -84,14 +84,22 @@
             .Observe(absl::ToDoubleSeconds(latency));
 }
 
-void NodeMetrics::attemptEnded(Verdict verdict, Reason reason, absl::Duration service)
+void NodeMetrics::attemptEnded(Verdict verdict, Reason reason, absl::Duration total,
+                               const GateTimes &times)
 {
     m_families->attempts
             .Add({ { "verdict", std::string(name(verdict)) },
                    { "reason", std::string(name(reason)) } })
             .Increment();
-    if (verdict == Verdict::Ran)
-        m_families->service.Add({}, LatencyBounds).Observe(absl::ToDoubleSeconds(service));
+    if (verdict != Verdict::Ran)
+        return;
+    const auto observe = [this](const char *hop, absl::Duration time) {
+        m_families->hops.Add({ { "hop", hop } }, LatencyBounds)
+                .Observe(absl::ToDoubleSeconds(time));
+    };
+    observe("transit", total - times.wait - times.service);
+    observe("gate-queue", times.wait);
+    observe("backend-server", times.service);
 }
 
 void NodeMetrics::retried(Reason reason)
--- a/packages/node/src/report/NodeMetrics.h
+++ b/packages/node/src/report/NodeMetrics.h
@@ -2,6 +2,8 @@
 /// Counters and histograms of a node, as text for Prometheus.
 #pragma once
 
+#include "gate/Attempt.h"
+
 #include "godwitlift/base/Verdict.h"
 
 #include <absl/time/time.h>
@@ -20,7 +22,8 @@
     ~NodeMetrics();
 
     void requestEnded(unsigned status, Reason reason, int urgency, absl::Duration latency);
-    void attemptEnded(Verdict verdict, Reason reason, absl::Duration service);
+    /// \p total is the time at the ingress; what exceeds \p times went between the hosts.
+    void attemptEnded(Verdict verdict, Reason reason, absl::Duration total, const GateTimes &times);
     void retried(Reason reason);
     void gateRefused(Reason reason);
     void requestRejected(unsigned status);
