Let large answers take turns on the host's link

Excluded: the gate's queue and the backend server (wait and service time are in the log line now, 53 and 123 ms at p90). Change: LinkPacer (pure) follows the backlog of the link; LinkScheduler gives pieces of large answers turns, between nodes and to clients; small messages leave at once and are counted. One answer is finished before the next begins. Tests: LinkPacerTests; 'a small answer overtakes a large one to another client on a thin link'. Without turns the pure test waits for the whole download. Downloads pile up at some links: the choice of a host does not know them yet.

--- a/packages/node/src/http/HttpServer.cpp
+++ b/packages/node/src/http/HttpServer.cpp
@@ -91,8 +91,9 @@
         connection->advance();
 }
 
-HttpServer::HttpServer(asio::io_context &loop, HttpHandler &handler)
+HttpServer::HttpServer(asio::io_context &loop, LinkScheduler &link, HttpHandler &handler)
     : m_loop(loop)
+    , m_link(link)
     , m_handler(handler)
     , m_acceptor(loop.get_executor())
     , m_acceptPause(loop.get_executor())
--- a/packages/node/src/http/HttpServer.h
+++ b/packages/node/src/http/HttpServer.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "http/HttpMessage.h"
+#include "http/LinkScheduler.h"
 #include "http/MessageParser.h"
 #include "http/Network.h"
 
@@ -94,7 +95,7 @@
 class HttpServer final
 {
 public:
-    HttpServer(asio::io_context &loop, HttpHandler &handler);
+    HttpServer(asio::io_context &loop, LinkScheduler &link, HttpHandler &handler);
     ~HttpServer();
 
     /// False if the address cannot be bound; \p error then says why.
@@ -119,6 +120,7 @@
     void closeOldestIdle();
 
     asio::io_context &m_loop;
+    LinkScheduler &m_link;
     HttpHandler &m_handler;
     TcpAcceptor m_acceptor;
     LoopTimer m_acceptPause;
--- a/packages/node/src/http/ServerConnection.cpp
+++ b/packages/node/src/http/ServerConnection.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/str_cat.h>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+
 namespace godwitlift {
 
 ServerConnection::ServerConnection(HttpServer &server, TcpSocket socket)
@@ -220,7 +222,34 @@
             beginLingering();
         return;
     }
+    LinkScheduler &link = m_server.m_link;
+    if (m_pending.size() > link.pieceBytes()) {
+        m_isWriting = true;
+        if (m_ticket == 0)
+            m_ticket = link.nextTicket();
+        link.requestTurn(m_ticket, [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            return self == nullptr || self->m_isClosed ? 0 : self->writePiece();
+        });
+        return;
+    }
+    m_ticket = 0;
     m_out.swap(m_pending);
+    link.sent(m_out.size());
+    startWriting();
+}
+
+std::size_t ServerConnection::writePiece()
+{
+    const std::size_t size = std::min(m_pending.size(), m_server.m_link.pieceBytes());
+    m_out.assign(m_pending, 0, size);
+    m_pending.erase(0, size);
+    startWriting();
+    return size;
+}
+
+void ServerConnection::startWriting()
+{
     m_isWriting = true;
     // Most answers fit into the socket; only the rest waits for the event loop.
     boost::system::error_code error;
@@ -265,9 +294,10 @@
         return;
     }
     const auto self = shared_from_this();
+    const std::size_t drained =
+            m_pending.empty() ? m_drainingBytes : std::min(m_drainingBytes, m_out.size());
+    m_drainingBytes -= drained;
     std::string().swap(m_out);
-    const std::size_t drained = m_drainingBytes;
-    m_drainingBytes = 0;
     if (const auto exchange = m_draining.lock(); exchange != nullptr && drained > 0) {
         if (const auto observer = exchange->m_observer.lock())
             observer->answerDrained(drained);
--- a/packages/node/src/http/ServerConnection.h
+++ b/packages/node/src/http/ServerConnection.h
@@ -46,6 +46,10 @@
     void requestComplete();
     void reject(unsigned status);
     void writeOut();
+    /// Writes m_out.
+    void startWriting();
+    /// Writes the first piece of m_pending and returns its size.
+    std::size_t writePiece();
     /// Sends the end of the stream and waits for the client to close.
     void beginLingering();
     void onWritten(const boost::system::error_code &error);
@@ -59,7 +63,8 @@
     std::string m_pending;              ///< Follows m_out.
     std::weak_ptr<Exchange> m_draining; ///< Whose body bytes are in m_out.
     std::size_t m_drainingBytes = 0;
-    bool m_isWriting = false;
+    std::uint64_t m_ticket = 0; ///< Of what waits for its turn on the link; 0 if nothing does.
+    bool m_isWriting = false;   ///< Or waits for its turn on the link.
     bool m_isWaiting = false;
     bool m_isReadEnded = false; ///< No further request is taken.
     bool m_isLingering = false; ///< Everything is sent; only the client's close is awaited.
--- a/packages/node/src/peers/FrameChannel.cpp
+++ b/packages/node/src/peers/FrameChannel.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <cstring>
 
 namespace godwitlift {
@@ -21,10 +22,22 @@
     return size;
 }
 
+void appendFrame(const mesh::Frame &frame, std::string &out)
+{
+    const std::size_t size = frame.ByteSizeLong();
+    char prefix[PrefixSize];
+    for (std::size_t i = 0; i < PrefixSize; ++i)
+        prefix[i] = static_cast<char>(size >> (8 * (PrefixSize - 1 - i)));
+    out.append(prefix, PrefixSize);
+    frame.AppendToString(&out);
+}
+
 } // namespace
 
-FrameChannel::FrameChannel(asio::io_context &loop, TcpSocket socket, FrameObserver &observer)
+FrameChannel::FrameChannel(asio::io_context &loop, LinkScheduler &link, TcpSocket socket,
+                           FrameObserver &observer)
     : m_loop(loop)
+    , m_link(link)
     , m_socket(std::move(socket))
     , m_observer(&observer)
     , m_heard(steadyNow())
@@ -73,15 +86,56 @@
 {
     if (m_isClosed)
         return;
-    const std::size_t size = frame.ByteSizeLong();
-    char prefix[PrefixSize];
-    for (std::size_t i = 0; i < PrefixSize; ++i)
-        prefix[i] = static_cast<char>(size >> (8 * (PrefixSize - 1 - i)));
-    m_pending.append(prefix, PrefixSize);
-    frame.AppendToString(&m_pending);
+    const std::size_t before = m_pending.size();
+    appendFrame(frame, m_pending);
+    m_link.sent(m_pending.size() - before);
     scheduleFlush();
 }
 
+void FrameChannel::sendInTurn(std::uint64_t tag, const mesh::Frame &frame)
+{
+    if (m_isClosed)
+        return;
+    const auto begun = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                    [&](const WaitingFrame &other) { return other.tag == tag; });
+    WaitingFrame waiting{ tag, begun == m_waiting.end() ? m_link.nextTicket() : begun->ticket, {} };
+    appendFrame(frame, waiting.bytes);
+    m_waiting.push_back(std::move(waiting));
+    requestTurn();
+}
+
+void FrameChannel::requestTurn()
+{
+    if (m_isTurnRequested || m_waiting.empty())
+        return;
+    m_isTurnRequested = true;
+    m_link.requestTurn(m_waiting.front().ticket, [weak = weak_from_this()]() -> std::size_t {
+        const auto self = weak.lock();
+        if (self == nullptr)
+            return 0;
+        self->m_isTurnRequested = false;
+        if (self->m_isClosed || self->m_waiting.empty())
+            return 0;
+        const std::string bytes = std::move(self->m_waiting.front().bytes);
+        self->m_waiting.pop_front();
+        self->m_pending += bytes;
+        self->scheduleFlush();
+        self->requestTurn();
+        return bytes.size();
+    });
+}
+
+bool FrameChannel::hasWaiting(std::uint64_t tag) const
+{
+    return std::any_of(m_waiting.begin(), m_waiting.end(),
+                       [&](const WaitingFrame &frame) { return frame.tag == tag; });
+}
+
+void FrameChannel::dropWaiting(std::uint64_t tag)
+{
+    std::erase_if(m_waiting, [&](const WaitingFrame &frame) { return frame.tag == tag; });
+}
+
 void FrameChannel::scheduleFlush()
 {
     if (m_isFlushScheduled || m_isWriting)
--- a/packages/node/src/peers/PeerLink.cpp
+++ b/packages/node/src/peers/PeerLink.cpp
@@ -20,8 +20,10 @@
 
 } // namespace
 
-PeerLink::PeerLink(asio::io_context &loop, PeerHost host, PeerLinkObserver &observer)
+PeerLink::PeerLink(asio::io_context &loop, LinkScheduler &link, PeerHost host,
+                   PeerLinkObserver &observer)
     : m_loop(loop)
+    , m_link(link)
     , m_host(std::move(host))
     , m_observer(observer)
     , m_connecting(loop.get_executor())
@@ -86,7 +88,7 @@
         retryLater();
         return;
     }
-    m_channel = std::make_shared<FrameChannel>(m_loop, std::move(m_connecting),
+    m_channel = std::make_shared<FrameChannel>(m_loop, m_link, std::move(m_connecting),
                                                static_cast<FrameObserver &>(*this));
     m_connecting = TcpSocket(m_loop.get_executor());
     m_answered = steadyNow();
--- a/packages/node/src/peers/PeerLink.h
+++ b/packages/node/src/peers/PeerLink.h
@@ -40,7 +40,8 @@
 class PeerLink final : public AttemptGateway, private FrameObserver
 {
 public:
-    PeerLink(asio::io_context &loop, PeerHost host, PeerLinkObserver &observer);
+    PeerLink(asio::io_context &loop, LinkScheduler &link, PeerHost host,
+             PeerLinkObserver &observer);
     ~PeerLink() override;
 
     void start();
@@ -70,6 +71,7 @@
     std::shared_ptr<AttemptObserver> observerOf(std::uint64_t attempt);
 
     asio::io_context &m_loop;
+    LinkScheduler &m_link;
     PeerHost m_host;
     PeerLinkObserver &m_observer;
     TcpSocket m_connecting;
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -75,10 +75,11 @@
 
 } // namespace
 
-PeerMesh::PeerMesh(asio::io_context &loop, Options options, StoreClient &store, LocalServer &server,
-                   FinishTimeSelector &selector, DecisionLog &log, NodeMetrics &metrics,
-                   RandomSource &random)
+PeerMesh::PeerMesh(asio::io_context &loop, LinkScheduler &link, Options options, StoreClient &store,
+                   LocalServer &server, FinishTimeSelector &selector, DecisionLog &log,
+                   NodeMetrics &metrics, RandomSource &random)
     : m_loop(loop)
+    , m_link(link)
     , m_options(std::move(options))
     , m_store(store)
     , m_server(server)
@@ -125,8 +126,8 @@
         if (error == asio::error::operation_aborted || !m_acceptor.is_open())
             return;
         if (!error) {
-            auto session = std::make_shared<PeerSession>(m_loop, std::move(socket), m_server,
-                                                         m_nextSource++,
+            auto session = std::make_shared<PeerSession>(m_loop, m_link, std::move(socket),
+                                                         m_server, m_nextSource++,
                                                          static_cast<PeerSessionObserver &>(*this));
             m_sessions[session.get()] = session;
             session->start();
@@ -230,7 +231,7 @@
                         .add("zone", host.zone.value())
                         .add("address", host.address.value()),
                 steadyNow());
-    link = std::make_unique<PeerLink>(m_loop, host, static_cast<PeerLinkObserver &>(*this));
+    link = std::make_unique<PeerLink>(m_loop, m_link, host, static_cast<PeerLinkObserver &>(*this));
     link->start();
 }
 
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -37,9 +37,9 @@
         std::uint32_t linkMbps = 0; ///< 0 is unknown.
     };
 
-    PeerMesh(asio::io_context &loop, Options options, StoreClient &store, LocalServer &server,
-             FinishTimeSelector &selector, DecisionLog &log, NodeMetrics &metrics,
-             RandomSource &random);
+    PeerMesh(asio::io_context &loop, LinkScheduler &link, Options options, StoreClient &store,
+             LocalServer &server, FinishTimeSelector &selector, DecisionLog &log,
+             NodeMetrics &metrics, RandomSource &random);
     ~PeerMesh() override;
 
     /// Must be called before listen().
@@ -107,6 +107,7 @@
     void helloReceived(const mesh::Hello &hello);
 
     asio::io_context &m_loop;
+    LinkScheduler &m_link;
     Options m_options;
     StoreClient &m_store;
     LocalServer &m_server;
--- a/packages/node/src/peers/PeerSession.cpp
+++ b/packages/node/src/peers/PeerSession.cpp
@@ -4,12 +4,13 @@
 
 namespace godwitlift {
 
-PeerSession::PeerSession(asio::io_context &loop, TcpSocket socket, LocalServer &server,
-                         std::uint32_t source, PeerSessionObserver &observer)
-    : m_server(server)
+PeerSession::PeerSession(asio::io_context &loop, LinkScheduler &link, TcpSocket socket,
+                         LocalServer &server, std::uint32_t source, PeerSessionObserver &observer)
+    : m_link(link)
+    , m_server(server)
     , m_door(server, source)
     , m_observer(observer)
-    , m_channel(std::make_shared<FrameChannel>(loop, std::move(socket),
+    , m_channel(std::make_shared<FrameChannel>(loop, link, std::move(socket),
                                                static_cast<FrameObserver &>(*this)))
 {}
 
@@ -49,6 +50,7 @@
     case mesh::Frame::kCancelRequest:
         if (m_attempts.erase(frame.cancel_request().attempt()) > 0)
             m_door.cancel(AttemptId(frame.cancel_request().attempt()));
+        m_channel->dropWaiting(frame.cancel_request().attempt());
         break;
     case mesh::Frame::kGrantCredit:
         m_door.grant(AttemptId(frame.grant_credit().attempt()), frame.grant_credit().bytes());
@@ -72,10 +74,20 @@
 
 void PeerSession::answerBody(AttemptId id, std::string data)
 {
-    mesh::Frame frame;
-    frame.mutable_answer_body()->set_attempt(id.value());
-    frame.mutable_answer_body()->set_data(std::move(data));
-    m_channel->send(frame);
+    const std::size_t piece = m_link.pieceBytes();
+    if (data.size() <= piece && !m_channel->hasWaiting(id.value())) {
+        mesh::Frame frame;
+        frame.mutable_answer_body()->set_attempt(id.value());
+        frame.mutable_answer_body()->set_data(std::move(data));
+        m_channel->send(frame);
+        return;
+    }
+    for (std::size_t at = 0; at < data.size(); at += piece) {
+        mesh::Frame frame;
+        frame.mutable_answer_body()->set_attempt(id.value());
+        frame.mutable_answer_body()->set_data(data.substr(at, piece));
+        m_channel->sendInTurn(id.value(), frame);
+    }
 }
 
 void PeerSession::answerComplete(AttemptId id, const GateTimes &times)
@@ -89,12 +101,16 @@
     message.set_wait_us(static_cast<std::uint32_t>(absl::ToInt64Microseconds(times.wait)));
     message.set_running(report.running);
     message.set_queued(report.queued);
-    m_channel->send(frame);
+    if (m_channel->hasWaiting(id.value()))
+        m_channel->sendInTurn(id.value(), frame); // Behind the rest of the body.
+    else
+        m_channel->send(frame);
 }
 
 void PeerSession::attemptFailed(AttemptId id, const AttemptFailure &failure)
 {
     m_attempts.erase(id.value());
+    m_channel->dropWaiting(id.value());
     m_channel->send(encodeFailure(id, failure));
 }
 
--- a/packages/node/src/peers/PeerSession.h
+++ b/packages/node/src/peers/PeerSession.h
@@ -31,8 +31,8 @@
                           public std::enable_shared_from_this<PeerSession>
 {
 public:
-    PeerSession(asio::io_context &loop, TcpSocket socket, LocalServer &server, std::uint32_t source,
-                PeerSessionObserver &observer);
+    PeerSession(asio::io_context &loop, LinkScheduler &link, TcpSocket socket, LocalServer &server,
+                std::uint32_t source, PeerSessionObserver &observer);
 
     void start();
     void close();
@@ -40,7 +40,7 @@
     absl::Time heard() const { return m_channel->heard(); }
     const HostId &peer() const { return m_peer; }
     void setPeer(HostId peer) { m_peer = std::move(peer); }
-    bool hasUnsent() const { return !m_attempts.empty() || m_channel->unsentBytes() > 0; }
+    bool hasUnsent() const { return !m_attempts.empty() || m_channel->hasUnsent(); }
 
     void answerHead(AttemptId id, AnswerHead head) override;
     void answerBody(AttemptId id, std::string data) override;
@@ -52,6 +52,7 @@
     void channelClosed(std::string_view cause) override;
     void cancelAttempts();
 
+    LinkScheduler &m_link;
     LocalServer &m_server;
     GateDoor m_door;
     PeerSessionObserver &m_observer;
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -117,7 +117,8 @@
                    { m_settings.service, *parseEndpoint(m_settings.backendServer.value()),
                      protocol },
                    *this)
-        , m_mesh(m_loop,
+        , m_link(m_loop, m_settings.linkMbps)
+        , m_mesh(m_loop, m_link,
                  { { m_settings.host, m_settings.advertisedPeers, m_settings.zone },
                    m_settings.peers,
                    m_settings.linkMbps },
@@ -132,10 +133,10 @@
                           m_log, m_metrics)
         , m_readiness(protocol)
         , m_metricsService(m_metrics, [this] { refreshGauges(); })
-        , m_clientServer(m_loop, m_ingress)
-        , m_announcementServer(m_loop, m_announcements)
-        , m_readinessServer(m_loop, m_readiness)
-        , m_metricsServer(m_loop, m_metricsService)
+        , m_clientServer(m_loop, m_link, m_ingress)
+        , m_announcementServer(m_loop, m_link, m_announcements)
+        , m_readinessServer(m_loop, m_link, m_readiness)
+        , m_metricsServer(m_loop, m_link, m_metricsService)
         , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
         , m_tick(m_loop.get_executor())
         , m_queueTick(m_loop.get_executor())
@@ -388,6 +389,7 @@
     FinishTimeSelector m_selector;
     StoreClient m_store;
     LocalServer m_server;
+    LinkScheduler m_link;
     PeerMesh m_mesh;
     IngressService m_ingress;
     ConfigurationKeeper m_keeper;
--- a/tests/node/RequestPathTests.cpp
+++ b/tests/node/RequestPathTests.cpp
@@ -57,7 +57,7 @@
 class Path final : private GateListener, private GatewayLookup
 {
 public:
-    Path()
+    explicit Path(double linkMegabits = 0)
         : protocol(createPlatformProtocol())
         , acceptor(loop.get_executor(), loopback(0))
         , server(loop, { ServiceId("desk"), acceptor.local_endpoint(), *protocol }, *this)
@@ -69,7 +69,8 @@
                     protocol->fieldNames(),
                     { 0.2, 50, absl::Seconds(10) } },
                   selector, *this, log, metrics)
-        , front(loop, ingress)
+        , link(loop, linkMegabits)
+        , front(loop, link, ingress)
     {
         accept();
         // A port that was free a moment ago.
@@ -83,7 +84,7 @@
 
     void configure()
     {
-        const auto route = [](const char *id, const char *prefix, Replay replay) {
+        const auto routeTo = [](const char *id, const char *prefix, Replay replay) {
             TrafficRoute route;
             route.id = RouteId(id);
             route.hostName = "a.example";
@@ -96,8 +97,8 @@
             return std::make_shared<const TrafficRoute>(route);
         };
         ingress.setCatalogue(RouteCatalogue::create(Version(1),
-                                                    { route("look", "/look/", Replay::Idempotent),
-                                                      route("pay", "/pay/", Replay::AtMostOnce) },
+                                                    { routeTo("look", "/look/", Replay::Idempotent),
+                                                      routeTo("pay", "/pay/", Replay::AtMostOnce) },
                                                     {}, {}));
         ServerAnnouncement announcement;
         announcement.id = BackendServerId("i-1");
@@ -146,6 +147,7 @@
     DecisionLog log;
     NodeMetrics metrics;
     IngressService ingress;
+    LinkScheduler link;
     HttpServer front;
     std::uint16_t clientPort = 0;
     std::list<Peer> backend;
@@ -402,3 +404,23 @@
     CHECK(path.ingress.callCount() == 0);
     CHECK(path.server.runningCount() == 0);
 }
+
+TEST_CASE("a small answer overtakes a large one to another client on a thin link")
+{
+    constexpr double ThinLinkMegabits = 1;
+    Path path(ThinLinkMegabits);
+    path.configure();
+    Peer &large = path.client();
+    Peer &small = path.client();
+    large.write(get("/look/large", "r1"));
+    small.write(get("/look/small", "r2"));
+    Peer &first = path.serverWith("r1");
+    Peer &second = path.serverWith("r2");
+    const std::string body(60'000, 'b');
+    asio::async_write(first.socket, asio::buffer(answer("r1", body)), [](auto, auto) {});
+    path.until([&] { return large.received.size() > 4096; });
+    second.write(answer("r2", "little"));
+    path.until([&] { return contains(small.received, "little"); });
+    CHECK(large.received.size() < body.size());
+    path.until([&] { return contains(large.received, "\r\n\r\n" + body); });
+}
