Choose hosts for large answers by the backlog of their links

Change: gates report link_mbps and the backlog of their link, with every answer too; FinishTimeSelector adds backlog, own sends since the report and the answer's time on the link for routes with large answers. Tests: 'thin links: ...' in FinishTimeSelectorTests.

--- a/packages/decisions/include/godwitlift/traffic/FinishTimeSelector.h
+++ b/packages/decisions/include/godwitlift/traffic/FinishTimeSelector.h
@@ -26,6 +26,8 @@
     std::uint32_t slots = 0;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
+    std::uint32_t linkMbps = 0; ///< Bandwidth of the host's link; 0 is unknown.
+    absl::Duration linkBacklog; ///< Time until a large answer gets its turn on the link.
 
     friend bool operator==(const GateReport &, const GateReport &) = default;
 };
@@ -64,7 +66,8 @@
     void hostForgotten(const HostId &host);
     void report(const HostId &host, const GateReport &report, absl::Time now);
     /// Load of a host between two reports.
-    void loadReported(const HostId &host, std::uint32_t running, std::uint32_t queued);
+    void loadReported(const HostId &host, std::uint32_t running, std::uint32_t queued,
+                      absl::Duration linkBacklog);
 
     /// The best host outside \p tried, or none if no host of \p service takes work.
     std::optional<SelectedHost> select(const ServiceId &service, const RouteId &route,
@@ -81,7 +84,7 @@
     /// Mean service time of a route; zero until the first answer.
     absl::Duration meanService(const RouteId &route) const;
 
-    void sent(const HostId &host);
+    void sent(const HostId &host, const RouteId &route);
     /// \p service is the time at the backend server, \p answerBytes the size of its answer.
     void ended(const HostId &host, const RouteId &route, AttemptOutcome outcome,
                absl::Duration service, std::size_t answerBytes, absl::Time now);
@@ -94,6 +97,7 @@
         bool isReachable = false;
         std::uint32_t ownInFlight = 0;
         std::int32_t sinceReport = 0; ///< Own sends less own ends since the last report.
+        double bytesSinceReport = 0;  ///< Expected size of the answers to these sends.
         double slowness = 1;          ///< Service time against the mean of each route.
         double failureShare = 0;      ///< Moving share of failures and refusals.
         absl::Time lastFailure = absl::InfinitePast();
@@ -108,6 +112,7 @@
     bool isCandidate(const Host &host, const ServiceId &service) const;
     double busySlots(const Host &host) const;
     double finishSeconds(const Host &host, const RouteStatistics &route) const;
+    double linkSeconds(const Host &host, const RouteStatistics &route) const;
     double failurePenalty(Host &host, bool areMostFailing, absl::Time now) const;
 
     RandomSource &m_random;
--- a/packages/decisions/include/godwitlift/traffic/LinkPacer.h
+++ b/packages/decisions/include/godwitlift/traffic/LinkPacer.h
@@ -21,6 +21,9 @@
     void sent(std::size_t bytes, absl::Time now);
     /// Time until another piece may leave; zero if it may at once.
     absl::Duration delay(absl::Time now) const;
+    /// Time in which the link carries \p bytes after everything that was sent; zero if its
+    /// bandwidth is unknown.
+    absl::Duration carryTime(std::size_t bytes, absl::Time now) const;
     /// Size of a piece in bytes.
     std::size_t pieceBytes() const { return m_pieceBytes; }
 
--- a/packages/decisions/src/traffic/FinishTimeSelector.cpp
+++ b/packages/decisions/src/traffic/FinishTimeSelector.cpp
@@ -25,6 +25,8 @@
 constexpr double CrossZoneSecondsPerByte = 2.5e-6;
 /// Round trip and handling for a host in another zone.
 constexpr double CrossZoneSeconds = 0.004;
+/// Mean size from which answers take turns on thin links.
+constexpr double LargeAnswerBytes = 8192;
 /// Spread of the random factor that keeps ingresses from choosing alike on the same reports.
 constexpr double ChoiceSpread = 0.1;
 /// Share of failures from which a server counts as failing.
@@ -72,17 +74,20 @@
     known.report = report;
     known.isReachable = true;
     known.sinceReport = 0;
+    known.bytesSinceReport = 0;
 }
 
 void FinishTimeSelector::loadReported(const HostId &host, std::uint32_t running,
-                                      std::uint32_t queued)
+                                      std::uint32_t queued, absl::Duration linkBacklog)
 {
     const auto it = m_hosts.find(host);
     if (it == m_hosts.end())
         return;
     it->second.report.running = running;
     it->second.report.queued = queued;
+    it->second.report.linkBacklog = linkBacklog;
     it->second.sinceReport = 0;
+    it->second.bytesSinceReport = 0;
 }
 
 bool FinishTimeSelector::isCandidate(const Host &host, const ServiceId &service) const
@@ -108,7 +113,17 @@
     double seconds = service * (1 + 0.5 * use * use + wait);
     if (host.zone != m_ownZone)
         seconds += CrossZoneSeconds + route.meanBytes * CrossZoneSecondsPerByte;
-    return seconds;
+    return seconds + linkSeconds(host, route);
+}
+
+double FinishTimeSelector::linkSeconds(const Host &host, const RouteStatistics &route) const
+{
+    // Small answers do not wait for large ones.
+    if (host.report.linkMbps == 0 || route.meanBytes < LargeAnswerBytes)
+        return 0;
+    const double bytesPerSecond = host.report.linkMbps * 1e6 / 8;
+    return absl::ToDoubleSeconds(host.report.linkBacklog)
+           + (host.bytesSinceReport + route.meanBytes) / bytesPerSecond;
 }
 
 double FinishTimeSelector::failurePenalty(Host &host, bool areMostFailing, absl::Time now) const
@@ -186,13 +201,16 @@
     return it == m_routes.end() ? absl::ZeroDuration() : absl::Seconds(it->second.meanSeconds);
 }
 
-void FinishTimeSelector::sent(const HostId &host)
+void FinishTimeSelector::sent(const HostId &host, const RouteId &route)
 {
     const auto it = m_hosts.find(host);
     if (it == m_hosts.end())
         return;
     ++it->second.ownInFlight;
     ++it->second.sinceReport;
+    const auto statistics = m_routes.find(route);
+    if (statistics != m_routes.end())
+        it->second.bytesSinceReport += statistics->second.meanBytes;
 }
 
 void FinishTimeSelector::ended(const HostId &host, const RouteId &route, AttemptOutcome outcome,
--- a/packages/decisions/src/traffic/LinkPacer.cpp
+++ b/packages/decisions/src/traffic/LinkPacer.cpp
@@ -39,6 +39,14 @@
                   + absl::Seconds(static_cast<double>(bytes) / m_bytesPerSecond);
 }
 
+absl::Duration LinkPacer::carryTime(std::size_t bytes, absl::Time now) const
+{
+    if (m_bytesPerSecond <= 0)
+        return absl::ZeroDuration();
+    return std::max(m_busyUntil - now, absl::ZeroDuration())
+           + absl::Seconds(static_cast<double>(bytes) / m_bytesPerSecond);
+}
+
 absl::Duration LinkPacer::delay(absl::Time now) const
 {
     if (m_bytesPerSecond <= 0 || m_busyUntil <= now + AllowedBacklog)
--- a/packages/node/src/http/LinkScheduler.cpp
+++ b/packages/node/src/http/LinkScheduler.cpp
@@ -9,12 +9,20 @@
     , m_timer(loop.get_executor())
 {}
 
-void LinkScheduler::requestTurn(std::uint64_t ticket, Turn turn)
+void LinkScheduler::requestTurn(std::uint64_t ticket, std::size_t waiting, Turn turn)
 {
-    m_turns.emplace(ticket, std::move(turn));
+    m_turns.emplace(ticket, WaitingTurn{ waiting, std::move(turn) });
     run();
 }
 
+absl::Duration LinkScheduler::backlog() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[ticket, waiting] : m_turns)
+        bytes += waiting.bytes;
+    return m_pacer.carryTime(bytes, steadyNow());
+}
+
 void LinkScheduler::run()
 {
     if (m_isRunning || m_isTimerSet)
@@ -32,7 +40,7 @@
             });
             break;
         }
-        const Turn turn = std::move(m_turns.extract(m_turns.begin()).mapped());
+        const Turn turn = std::move(m_turns.extract(m_turns.begin()).mapped().turn);
         m_pacer.sent(turn(), steadyNow());
     }
     m_isRunning = false;
--- a/packages/node/src/http/LinkScheduler.h
+++ b/packages/node/src/http/LinkScheduler.h
@@ -29,15 +29,24 @@
     /// Place in the order of answers. One that is begun is finished before later ones: sharing the
     /// link evenly would delay all of them.
     std::uint64_t nextTicket() { return ++m_lastTicket; }
-    /// Calls \p turn once, before this returns or later. Lower tickets come first.
-    void requestTurn(std::uint64_t ticket, Turn turn);
+    /// Calls \p turn once, before this returns or later. Lower tickets come first. \p waiting is
+    /// the size in bytes of all that its sender has to send in turns.
+    void requestTurn(std::uint64_t ticket, std::size_t waiting, Turn turn);
+    /// Time that a large answer waits before its own first turn.
+    absl::Duration backlog() const;
 
 private:
+    struct WaitingTurn
+    {
+        std::size_t bytes = 0;
+        Turn turn;
+    };
+
     void run();
 
     LinkPacer m_pacer;
     LoopTimer m_timer;
-    std::multimap<std::uint64_t, Turn> m_turns; ///< By ticket.
+    std::multimap<std::uint64_t, WaitingTurn> m_turns; ///< By ticket.
     std::uint64_t m_lastTicket = 0;
     bool m_isRunning = false;
     bool m_isTimerSet = false;
--- a/packages/node/src/http/ServerConnection.cpp
+++ b/packages/node/src/http/ServerConnection.cpp
@@ -227,7 +227,7 @@
         m_isWriting = true;
         if (m_ticket == 0)
             m_ticket = link.nextTicket();
-        link.requestTurn(m_ticket, [weak = weak_from_this()] {
+        link.requestTurn(m_ticket, m_pending.size(), [weak = weak_from_this()] {
             const auto self = weak.lock();
             return self == nullptr || self->m_isClosed ? 0 : self->writePiece();
         });
--- a/packages/node/src/ingress/IngressCall.cpp
+++ b/packages/node/src/ingress/IngressCall.cpp
@@ -100,7 +100,7 @@
     m_head.reset();
     m_held.clear();
     m_answerBytes = 0;
-    m_service.m_selector.sent(choice.host);
+    m_service.m_selector.sent(choice.host, m_route.id);
     AttemptGateway *gateway = m_service.m_gateways.gatewayTo(choice.host);
     if (gateway == nullptr) {
         attemptFailed(m_attempt,
--- a/packages/node/src/peers/FrameChannel.cpp
+++ b/packages/node/src/peers/FrameChannel.cpp
@@ -109,20 +109,29 @@
     if (m_isTurnRequested || m_waiting.empty())
         return;
     m_isTurnRequested = true;
-    m_link.requestTurn(m_waiting.front().ticket, [weak = weak_from_this()]() -> std::size_t {
-        const auto self = weak.lock();
-        if (self == nullptr)
-            return 0;
-        self->m_isTurnRequested = false;
-        if (self->m_isClosed || self->m_waiting.empty())
-            return 0;
-        const std::string bytes = std::move(self->m_waiting.front().bytes);
-        self->m_waiting.pop_front();
-        self->m_pending += bytes;
-        self->scheduleFlush();
-        self->requestTurn();
-        return bytes.size();
-    });
+    m_link.requestTurn(m_waiting.front().ticket, waitingBytes(),
+                       [weak = weak_from_this()]() -> std::size_t {
+                           const auto self = weak.lock();
+                           if (self == nullptr)
+                               return 0;
+                           self->m_isTurnRequested = false;
+                           if (self->m_isClosed || self->m_waiting.empty())
+                               return 0;
+                           const std::string bytes = std::move(self->m_waiting.front().bytes);
+                           self->m_waiting.pop_front();
+                           self->m_pending += bytes;
+                           self->scheduleFlush();
+                           self->requestTurn();
+                           return bytes.size();
+                       });
+}
+
+std::size_t FrameChannel::waitingBytes() const
+{
+    std::size_t bytes = 0;
+    for (const WaitingFrame &frame : m_waiting)
+        bytes += frame.bytes.size();
+    return bytes;
 }
 
 bool FrameChannel::hasWaiting(std::uint64_t tag) const
--- a/packages/node/src/peers/FrameChannel.h
+++ b/packages/node/src/peers/FrameChannel.h
@@ -61,6 +61,7 @@
 
     void scheduleFlush();
     void requestTurn();
+    std::size_t waitingBytes() const;
     void flush();
     void waitReadable();
     void onReadable(const boost::system::error_code &error);
--- a/packages/node/src/peers/PeerLink.cpp
+++ b/packages/node/src/peers/PeerLink.cpp
@@ -218,7 +218,8 @@
             observer->answerComplete(AttemptId(frame.answer_end().attempt()),
                                      { absl::Microseconds(frame.answer_end().wait_us()),
                                        absl::Microseconds(frame.answer_end().service_us()) });
-        m_observer.loadReported(*this, frame.answer_end().running(), frame.answer_end().queued());
+        m_observer.loadReported(*this, frame.answer_end().running(), frame.answer_end().queued(),
+                                absl::Milliseconds(frame.answer_end().link_backlog_ms()));
         break;
     }
     default:
--- a/packages/node/src/peers/PeerLink.h
+++ b/packages/node/src/peers/PeerLink.h
@@ -26,7 +26,8 @@
     virtual void linkLost(PeerLink &link, std::string_view cause) = 0;
     virtual void gateReported(PeerLink &link, const GateReport &report) = 0;
     /// Load as of the end of an attempt.
-    virtual void loadReported(PeerLink &link, std::uint32_t running, std::uint32_t queued) = 0;
+    virtual void loadReported(PeerLink &link, std::uint32_t running, std::uint32_t queued,
+                              absl::Duration linkBacklog) = 0;
     /// Every other frame: configuration, hosts, drains.
     virtual void linkFrame(PeerLink &link, const mesh::Frame &frame) = 0;
     virtual mesh::Frame helloFor(const HostId &host) = 0;
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -306,7 +306,7 @@
 
 void PeerMesh::gateChanged(bool isUrgent)
 {
-    const GateReport report = m_server.report();
+    const GateReport report = ownReport();
     m_selector.report(m_options.self.host, report, steadyNow());
     const double change = std::abs(static_cast<double>(report.running + report.queued)
                                    - m_lastReport.running - m_lastReport.queued);
@@ -318,9 +318,17 @@
         broadcastGate();
 }
 
+GateReport PeerMesh::ownReport() const
+{
+    GateReport report = m_server.report();
+    report.linkMbps = m_options.linkMbps;
+    report.linkBacklog = m_link.backlog();
+    return report;
+}
+
 void PeerMesh::broadcastGate()
 {
-    m_lastReport = m_server.report();
+    m_lastReport = ownReport();
     m_selector.report(m_options.self.host, m_lastReport, steadyNow());
     m_lastBroadcast = steadyNow();
     const mesh::Frame frame = encodeReport(m_lastReport, nodeState());
@@ -330,7 +338,7 @@
 
 void PeerMesh::sendGate(PeerSession &session)
 {
-    session.send(encodeReport(m_server.report(), nodeState()));
+    session.send(encodeReport(ownReport(), nodeState()));
 }
 
 mesh::Frame PeerMesh::helloFor(const HostId &host)
@@ -383,9 +391,10 @@
     m_selector.report(link.host().host, report, steadyNow());
 }
 
-void PeerMesh::loadReported(PeerLink &link, std::uint32_t running, std::uint32_t queued)
+void PeerMesh::loadReported(PeerLink &link, std::uint32_t running, std::uint32_t queued,
+                            absl::Duration linkBacklog)
 {
-    m_selector.loadReported(link.host().host, running, queued);
+    m_selector.loadReported(link.host().host, running, queued, linkBacklog);
 }
 
 NodeState PeerMesh::nodeState() const
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -83,6 +83,8 @@
     void removeRow(const HostId &host);
     void learn(const PeerHost &host);
     void forget(const HostId &host, std::string_view cause);
+    /// Report on the gate and on the link that its answers take.
+    GateReport ownReport() const;
     void broadcastGate();
     void closeSilentSessions(absl::Time now);
     void sendGate(PeerSession &session);
@@ -99,7 +101,8 @@
     void addressTaken(PeerLink &link, const PeerHost &owner) override;
     void linkLost(PeerLink &link, std::string_view cause) override;
     void gateReported(PeerLink &link, const GateReport &report) override;
-    void loadReported(PeerLink &link, std::uint32_t running, std::uint32_t queued) override;
+    void loadReported(PeerLink &link, std::uint32_t running, std::uint32_t queued,
+                      absl::Duration linkBacklog) override;
     void linkFrame(PeerLink &link, const mesh::Frame &frame) override;
     mesh::Frame helloFor(const HostId &host) override;
     void sessionFrame(PeerSession &session, const mesh::Frame &frame) override;
--- a/packages/node/src/peers/PeerMessages.cpp
+++ b/packages/node/src/peers/PeerMessages.cpp
@@ -136,6 +136,8 @@
     message.set_is_leaving(node.isLeaving);
     message.set_is_store_failing(node.isStoreFailing);
     message.set_link_mbps(node.linkMbps);
+    message.set_link_backlog_ms(
+            static_cast<std::uint32_t>(absl::ToInt64Milliseconds(report.linkBacklog)));
     return frame;
 }
 
@@ -154,6 +156,8 @@
     report.slots = message.slots();
     report.running = message.running();
     report.queued = message.queued();
+    report.linkMbps = message.link_mbps();
+    report.linkBacklog = absl::Milliseconds(message.link_backlog_ms());
     return report;
 }
 
--- a/tests/support/DispatchModel.cpp
+++ b/tests/support/DispatchModel.cpp
@@ -54,12 +54,14 @@
     GateReport report(std::size_t index, absl::Time now) const
     {
         const GateLoad load = gate.load(now);
-        return { BackendServerId(absl::StrCat("server-", index)),
-                 Desk,
-                 true,
-                 load.limit,
-                 load.inUse,
-                 load.queued };
+        GateReport report;
+        report.server = BackendServerId(absl::StrCat("server-", index));
+        report.service = Desk;
+        report.takesWork = true;
+        report.slots = load.limit;
+        report.running = load.inUse;
+        report.queued = load.queued;
+        return report;
     }
 
     Gate gate;
@@ -154,7 +156,7 @@
         if (hostOf(i) == choice->host)
             request->server = i;
     }
-    ingress.selector.sent(choice->host);
+    ingress.selector.sent(choice->host, Lookup);
     plan(m_scenario.transit, [this, request] { atGate(request->server, request); });
 }
 
@@ -200,8 +202,8 @@
                 attemptEnded(request, isShed ? AttemptOutcome::Failed : AttemptOutcome::Answered,
                              service, absl::ZeroDuration());
                 if (!isShed)
-                    m_ingresses[request->ingress]->selector.loadReported(hostOf(server), load.inUse,
-                                                                         load.queued);
+                    m_ingresses[request->ingress]->selector.loadReported(
+                            hostOf(server), load.inUse, load.queued, absl::ZeroDuration());
             });
         });
     }
--- a/tests/traffic/FinishTimeSelectorTests.cpp
+++ b/tests/traffic/FinishTimeSelectorTests.cpp
@@ -32,13 +32,13 @@
     }
     void answer(const char *name, int milliseconds, std::size_t bytes = 5000)
     {
-        selector.sent(HostId(name));
+        selector.sent(HostId(name), Lookup);
         selector.ended(HostId(name), Lookup, AttemptOutcome::Answered,
                        absl::Milliseconds(milliseconds), bytes, Now);
     }
     void fail(const char *name)
     {
-        selector.sent(HostId(name));
+        selector.sent(HostId(name), Lookup);
         selector.ended(HostId(name), Lookup, AttemptOutcome::Failed, absl::ZeroDuration(), 0, Now);
     }
     /// How often each host is chosen in \p count choices without any being sent.
@@ -98,7 +98,7 @@
     std::map<std::string, int> sent;
     for (int i = 0; i < 8; ++i) {
         const auto choice = fleet.selector.select(Desk, Lookup, {}, Now);
-        fleet.selector.sent(choice->host);
+        fleet.selector.sent(choice->host, Lookup);
         ++sent[choice->host.value()];
     }
     CHECK(sent["a"] == 4);
@@ -141,3 +141,64 @@
     CHECK_FALSE(fleet.selector.select(ServiceId("ledger"), Lookup, {}, Now).has_value());
     CHECK(fleet.selector.availableCount(Desk) == 1);
 }
+
+TEST_CASE("thin links: large answers go where the link is free, small ones do not care")
+{
+    const RouteId Download("download");
+    SeededRandom random(7);
+    FinishTimeSelector selector(random);
+    selector.setOwnZone(ZoneId("north"));
+    for (const char *name : { "busy", "free" }) {
+        selector.hostSeen(HostId(name), ZoneId("north"));
+        GateReport report;
+        report.server = BackendServerId(name);
+        report.service = Desk;
+        report.takesWork = true;
+        report.slots = 18;
+        report.running = std::string(name) == "busy" ? 0 : 6;
+        report.linkMbps = 7;
+        report.linkBacklog =
+                std::string(name) == "busy" ? absl::Milliseconds(400) : absl::ZeroDuration();
+        selector.report(HostId(name), report, Now);
+    }
+    const auto answered = [&](const RouteId &route, std::size_t bytes) {
+        selector.sent(HostId("free"), route);
+        selector.ended(HostId("free"), route, AttemptOutcome::Answered, absl::Milliseconds(200),
+                       bytes, Now);
+    };
+    answered(Download, 90'000);
+    answered(Lookup, 400);
+    CHECK(selector.select(Desk, Download, {}, Now)->host == HostId("free"));
+    CHECK(selector.select(Desk, Lookup, {}, Now)->host == HostId("busy"));
+}
+
+TEST_CASE("thin links: downloads that one node sends between two reports spread over the links")
+{
+    const RouteId Download("download");
+    SeededRandom random(7);
+    FinishTimeSelector selector(random);
+    selector.setOwnZone(ZoneId("north"));
+    std::map<std::string, int> sends;
+    for (int i = 0; i < 4; ++i) {
+        const HostId host(std::string(1, static_cast<char>('a' + i)));
+        selector.hostSeen(host, ZoneId("north"));
+        GateReport report;
+        report.server = BackendServerId(host.value());
+        report.service = Desk;
+        report.takesWork = true;
+        report.slots = 100;
+        report.linkMbps = 7;
+        selector.report(host, report, Now);
+        selector.sent(host, Download);
+        selector.ended(host, Download, AttemptOutcome::Answered, absl::Milliseconds(200), 90'000,
+                       Now);
+        selector.report(host, report, Now);
+    }
+    for (int i = 0; i < 40; ++i) {
+        const auto choice = selector.select(Desk, Download, {}, Now);
+        ++sends[choice->host.value()];
+        selector.sent(choice->host, Download);
+    }
+    for (const auto &[host, count] : sends)
+        CHECK(count == 10);
+}
