Keep all announced slots in use while a backend server sheds

Excluded: demand (answered work took 55 % of the slots). Change: the gate's share of slots that shedding never takes away is 1, not 0.8. Test: 'a backend server that sheds without being full keeps all of its slots', failed before.

--- a/packages/node/src/gate/LocalServer.cpp
+++ b/packages/node/src/gate/LocalServer.cpp
@@ -43,9 +43,9 @@
 /// Urgencies that have a queue of their own; what is less urgent shares the last one.
 constexpr int LeastUrgency = 7;
 
-/// Part of the announced slots that is used whatever the backend server sheds: its announcements
-/// are exact, and it has a queue besides.
-constexpr double LeastSlotShare = 0.8;
+/// Part of the announced slots that is used whatever the backend server sheds: the announcement is
+/// exact and this gate is the only way to the server, so that what it sheds has another cause.
+constexpr double LeastSlotShare = 1;
 
 SlotLimit limitOf(std::uint32_t slots)
 {
--- a/tests/node/RequestPathTests.cpp
+++ b/tests/node/RequestPathTests.cpp
@@ -424,3 +424,18 @@
     CHECK(large.received.size() < body.size());
     path.until([&] { return contains(large.received, "\r\n\r\n" + body); });
 }
+
+TEST_CASE("a backend server that sheds without being full keeps all of its slots")
+{
+    Path path;
+    path.configure();
+    Peer &client = path.client();
+    client.write(get("/look/x", "r0"));
+    path.serverWith("r0").write(
+            "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    path.until([&] { return contains(client.received, "HTTP/1.1 503"); });
+    for (int i = 1; i <= 4; ++i)
+        client.write(get("/look/x", "r" + std::to_string(i)));
+    for (int i = 1; i <= 4; ++i)
+        path.serverWith("X-Attempt-Id: r" + std::to_string(i) + "\r\n");
+}
