Share the knowledge of failing backend servers through their gates

Change: a gate sees all attempts at its server and reports their share of failures; a node takes the greater of that and its own. Tests of a failing server are five a second for the whole fleet instead of two a second a node. Tests: 'server that fails everything: ...'; 80 nodes make 25 to 100 tests in ten seconds.

--- a/packages/decisions/include/godwitlift/traffic/FinishTimeSelector.h
+++ b/packages/decisions/include/godwitlift/traffic/FinishTimeSelector.h
@@ -4,6 +4,7 @@
 
 #include "godwitlift/base/RandomSource.h"
 #include "godwitlift/base/StrongId.h"
+#include "godwitlift/traffic/FailureShare.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -28,6 +29,7 @@
     std::uint32_t queued = 0;
     std::uint32_t linkMbps = 0; ///< Bandwidth of the host's link; 0 is unknown.
     absl::Duration linkBacklog; ///< Time until a large answer gets its turn on the link.
+    double failureShare = 0;    ///< Of the backend server, over the attempts of all nodes.
 
     friend bool operator==(const GateReport &, const GateReport &) = default;
 };
@@ -50,8 +52,9 @@
 /// Ranks the hosts of a service by expected finish time. Not thread-safe.
 ///
 /// Speeds are learnt from answers: each route has a mean service time over all servers, each
-/// server a factor against it. A server that fails is given less work, and is tried again by
-/// single requests; if most servers of a service fail, their failures are not held against them.
+/// server a factor against it. A server that fails, by own attempts or by what its gate reports,
+/// is given less work, and is tried again by single requests of all nodes in turn; if most servers
+/// of a service fail, their failures are not held against them.
 class FinishTimeSelector final
 {
 public:
@@ -99,7 +102,7 @@
         std::int32_t sinceReport = 0; ///< Own sends less own ends since the last report.
         double bytesSinceReport = 0;  ///< Expected size of the answers to these sends.
         double slowness = 1;          ///< Service time against the mean of each route.
-        double failureShare = 0;      ///< Moving share of failures and refusals.
+        FailureShare failures;        ///< Of own attempts.
         absl::Time lastFailure = absl::InfinitePast();
         absl::Time lastProbe = absl::InfinitePast(); ///< Last single request at a failing server.
     };
@@ -114,6 +117,10 @@
     double finishSeconds(const Host &host, const RouteStatistics &route) const;
     double linkSeconds(const Host &host, const RouteStatistics &route) const;
     double failurePenalty(Host &host, bool areMostFailing, absl::Time now) const;
+    static double failureShare(const Host &host);
+    /// Notes that \p host has begun to fail, if it was sound \p before.
+    void noteFailing(Host &host, double before, absl::Time now);
+    absl::Duration probePause() const;
 
     RandomSource &m_random;
     ZoneId m_ownZone;
--- a/packages/decisions/src/traffic/FinishTimeSelector.cpp
+++ b/packages/decisions/src/traffic/FinishTimeSelector.cpp
@@ -13,8 +13,6 @@
 /// Weight of the newest sample in one server's slowness; a tenth of it follows a change within
 /// about ten answers.
 constexpr double SlownessWeight = 0.12;
-/// Weight of the newest outcome in a server's share of failures.
-constexpr double FailureWeight = 0.1;
 /// Assumed service time of a route that has not been answered yet.
 constexpr double AssumedServiceSeconds = 0.1;
 /// Bounds of the slowness factor, so that one odd answer neither starves nor floods a server.
@@ -29,10 +27,9 @@
 constexpr double LargeAnswerBytes = 8192;
 /// Spread of the random factor that keeps ingresses from choosing alike on the same reports.
 constexpr double ChoiceSpread = 0.1;
-/// Share of failures from which a server counts as failing.
-constexpr double FailingShare = 0.25;
-/// Pause between single requests that test a failing server.
-constexpr absl::Duration ProbePause = absl::Milliseconds(500);
+/// Pause between two single requests of the whole fleet that test a failing server: a server that
+/// has recovered is back in use after some two seconds.
+constexpr absl::Duration FleetProbePause = absl::Milliseconds(200);
 /// Time after which an old failure no longer counts.
 constexpr absl::Duration FailureMemory = absl::Seconds(5);
 /// Seconds by which a failing server is held back behind sound ones, at a share of 1.
@@ -64,14 +61,17 @@
     m_hosts.erase(host);
 }
 
-void FinishTimeSelector::report(const HostId &host, const GateReport &report, absl::Time)
+void FinishTimeSelector::report(const HostId &host, const GateReport &report, absl::Time now)
 {
     Host &known = m_hosts[host];
     if (known.report.server != report.server) {
         known.slowness = 1;
-        known.failureShare = 0;
+        known.failures.reset();
+        known.report.failureShare = 0;
     }
+    const double before = failureShare(known);
     known.report = report;
+    noteFailing(known, before, now);
     known.isReachable = true;
     known.sinceReport = 0;
     known.bytesSinceReport = 0;
@@ -126,17 +126,35 @@
            + (host.bytesSinceReport + route.meanBytes) / bytesPerSecond;
 }
 
+double FinishTimeSelector::failureShare(const Host &host)
+{
+    return std::max(host.failures.value(), host.report.failureShare);
+}
+
+absl::Duration FinishTimeSelector::probePause() const
+{
+    return FleetProbePause * static_cast<double>(m_hosts.size());
+}
+
+void FinishTimeSelector::noteFailing(Host &host, double before, absl::Time now)
+{
+    // All nodes learn of it together; their first tests must not come together.
+    if (before < FailureShare::Failing && failureShare(host) >= FailureShare::Failing)
+        host.lastProbe = now - probePause() * m_random.unit();
+}
+
 double FinishTimeSelector::failurePenalty(Host &host, bool areMostFailing, absl::Time now) const
 {
-    if (areMostFailing || host.failureShare < FailingShare)
+    if (areMostFailing || failureShare(host) < FailureShare::Failing)
         return 0;
-    if (now - host.lastFailure > FailureMemory) {
-        host.failureShare = FailingShare / 2;
+    if (host.report.failureShare < FailureShare::Failing
+        && now - host.lastFailure > FailureMemory) {
+        host.failures.reset(FailureShare::Failing / 2);
         return 0;
     }
-    if (now - host.lastProbe > ProbePause)
+    if (now - host.lastProbe > probePause())
         return 0;
-    return FailurePenaltySeconds * host.failureShare;
+    return FailurePenaltySeconds * failureShare(host);
 }
 
 std::optional<SelectedHost> FinishTimeSelector::select(const ServiceId &service,
@@ -150,7 +168,7 @@
         if (!isCandidate(host, service))
             continue;
         ++candidates;
-        failing += host.failureShare >= FailingShare ? 1 : 0;
+        failing += failureShare(host) >= FailureShare::Failing ? 1 : 0;
     }
     const bool areMostFailing = failing * 2 > candidates;
     const RouteStatistics statistics = m_routes[route];
@@ -171,7 +189,7 @@
     }
     if (best == nullptr)
         return std::nullopt;
-    if (bestHost->failureShare >= FailingShare)
+    if (failureShare(*bestHost) >= FailureShare::Failing)
         bestHost->lastProbe = now;
     return SelectedHost{ *best, absl::Seconds(finishSeconds(*bestHost, statistics)) };
 }
@@ -233,10 +251,12 @@
                     std::clamp(seconds / statistics.meanSeconds, LeastSlowness, MostSlowness);
             known.slowness += SlownessWeight * (sample - known.slowness);
         }
-        known.failureShare *= 1 - FailureWeight;
+        known.failures.succeeded();
     } else if (outcome == AttemptOutcome::Failed) {
-        known.failureShare += FailureWeight * (1 - known.failureShare);
+        const double before = failureShare(known);
+        known.failures.failed();
         known.lastFailure = now;
+        noteFailing(known, before, now);
     }
 }
 
--- a/packages/node/src/gate/LocalServer.cpp
+++ b/packages/node/src/gate/LocalServer.cpp
@@ -96,6 +96,7 @@
             m_refusedStatus = head.status;
             return;
         }
+        m_isServerError = head.status >= 500;
         AnswerHead answer;
         answer.status = head.status;
         answer.phrase = head.reasonPhrase;
@@ -139,7 +140,7 @@
             return;
         }
         const GateTimes times{ m_started - m_arrived, steadyNow() - m_started };
-        m_server.runEnded(*this, RunEnd::Answered);
+        m_server.runEnded(*this, RunEnd::Answered, m_isServerError);
         if (const auto observer = m_observer.lock())
             observer->answerComplete(sourceId(), times);
     }
@@ -163,6 +164,7 @@
     absl::Time m_started;
     std::size_t m_unacknowledged = 0; ///< Body bytes passed on and not granted yet.
     unsigned m_refusedStatus = 0;     ///< The backend server says that it did not run the request.
+    bool m_isServerError = false;     ///< The backend server answered with a failure of its own.
     bool m_isUnsealed = false;        ///< The answer is not the backend server's own.
 };
 
@@ -238,6 +240,7 @@
     report.slots = load.limit;
     report.running = load.inUse;
     report.queued = load.queued;
+    report.failureShare = m_failures.value();
     return report;
 }
 
@@ -336,8 +339,12 @@
         m_idle.push_back(connection);
 }
 
-void LocalServer::runEnded(GateRun &run, RunEnd end)
+void LocalServer::runEnded(GateRun &run, RunEnd end, bool isServerError)
 {
+    if (end == RunEnd::Answered && !isServerError)
+        m_failures.succeeded();
+    else if (end != RunEnd::NotConnected)
+        m_failures.failed();
     const AttemptId id = run.order().id;
     release(run.connection());
     m_runs.erase(id);
@@ -385,6 +392,7 @@
         return;
     }
     updateSlots();
+    m_failures.reset();
     m_listener.serverStateChanged(cause);
     if (m_lifecycle.state() == ServerState::Ready)
         m_gate.reopen();
--- a/packages/node/src/gate/LocalServer.h
+++ b/packages/node/src/gate/LocalServer.h
@@ -77,7 +77,7 @@
     void carryOut(const GateStep &step);
     void start(AttemptId id);
     void refuse(AttemptId id, Reason reason, absl::Duration retryAfter);
-    void runEnded(GateRun &run, RunEnd end);
+    void runEnded(GateRun &run, RunEnd end, bool isServerError = false);
     void applyChange(LifecycleChange change, std::string_view cause);
     void serverLost(std::string_view cause);
     void updateSlots();
@@ -91,6 +91,7 @@
     std::shared_ptr<const RouteCatalogue> m_catalogue;
     ServerLifecycle m_lifecycle;
     Gate m_gate;
+    FailureShare m_failures; ///< Of the backend server, over the attempts of all nodes.
     absl::flat_hash_map<AttemptId, std::shared_ptr<GateRun>> m_runs; ///< Waiting and running.
     std::vector<std::shared_ptr<BackendConnection>> m_idle;          ///< The last used one last.
     std::shared_ptr<Probe> m_probe;
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -24,7 +24,8 @@
 constexpr absl::Duration ReportPausePerPeer = absl::Milliseconds(4);
 /// Longest time without a report. Peers take four missing ones for a dead connection.
 constexpr absl::Duration LongestReportPause = absl::Milliseconds(500);
-/// Change in used slots, as a share of all slots, that is worth a report of its own.
+/// Change in used slots, as a share of all slots, or in the share of failures that is worth a
+/// report of its own.
 constexpr double WorthwhileChange = 0.1;
 /// Time without a frame after which the opener of a session is taken for gone: it pings every 0.6
 /// s.
@@ -310,8 +311,10 @@
     m_selector.report(m_options.self.host, report, steadyNow());
     const double change = std::abs(static_cast<double>(report.running + report.queued)
                                    - m_lastReport.running - m_lastReport.queued);
-    const bool isWorthwhile = report.takesWork != m_lastReport.takesWork
-                              || change >= WorthwhileChange * std::max(report.slots, 1U);
+    const bool isWorthwhile =
+            report.takesWork != m_lastReport.takesWork
+            || change >= WorthwhileChange * std::max(report.slots, 1U)
+            || std::abs(report.failureShare - m_lastReport.failureShare) >= WorthwhileChange;
     const absl::Duration pause =
             std::max(BusyReportPause, ReportPausePerPeer * static_cast<double>(m_sessions.size()));
     if (isUrgent || (isWorthwhile && steadyNow() - m_lastBroadcast >= pause))
--- a/packages/node/src/peers/PeerMessages.cpp
+++ b/packages/node/src/peers/PeerMessages.cpp
@@ -138,6 +138,7 @@
     message.set_link_mbps(node.linkMbps);
     message.set_link_backlog_ms(
             static_cast<std::uint32_t>(absl::ToInt64Milliseconds(report.linkBacklog)));
+    message.set_failure_share(static_cast<float>(report.failureShare));
     return frame;
 }
 
@@ -158,6 +159,7 @@
     report.queued = message.queued();
     report.linkMbps = message.link_mbps();
     report.linkBacklog = absl::Milliseconds(message.link_backlog_ms());
+    report.failureShare = message.failure_share();
     return report;
 }
 
--- a/tests/traffic/FinishTimeSelectorTests.cpp
+++ b/tests/traffic/FinishTimeSelectorTests.cpp
@@ -202,3 +202,55 @@
     for (const auto &[host, count] : sends)
         CHECK(count == 10);
 }
+
+TEST_CASE(
+        "server that fails everything: a node avoids it by the gate's report, without own failures")
+{
+    Fleet fleet;
+    fleet.host("a", "north", 0);
+    fleet.host("b", "north", 9);
+    GateReport report;
+    report.server = BackendServerId("a");
+    report.service = Desk;
+    report.takesWork = true;
+    report.slots = 18;
+    report.failureShare = 0.9;
+    fleet.selector.report(HostId("a"), report, Now);
+    auto chosen = fleet.choices(100);
+    CHECK(chosen["a"] <= 1);
+    report.failureShare = 0.1;
+    fleet.selector.report(HostId("a"), report, Now);
+    chosen = fleet.choices(100);
+    CHECK(chosen["a"] == 100);
+}
+
+TEST_CASE("server that fails everything: the tests of a large fleet are few")
+{
+    // 80 nodes, each with 80 hosts, see the same failing server for ten seconds.
+    constexpr int Nodes = 80;
+    int tests = 0;
+    for (int node = 0; node < Nodes; ++node) {
+        SeededRandom random(static_cast<std::uint64_t>(node));
+        FinishTimeSelector selector(random);
+        selector.setOwnZone(ZoneId("north"));
+        for (int i = 0; i < Nodes; ++i)
+            selector.hostSeen(HostId("h" + std::to_string(i)), ZoneId("north"));
+        for (int i = 0; i < Nodes; ++i) {
+            const HostId host("h" + std::to_string(i));
+            GateReport report;
+            report.server = BackendServerId(host.value());
+            report.service = Desk;
+            report.takesWork = true;
+            report.slots = 18;
+            report.running = i == 0 ? 0 : 9;
+            selector.report(host, report, Now);
+            report.failureShare = i == 0 ? 0.9 : 0;
+            selector.report(host, report, Now);
+        }
+        for (absl::Time now = Now; now < Now + absl::Seconds(10); now += absl::Milliseconds(50))
+            tests += selector.select(Desk, Lookup, {}, now)->host == HostId("h0") ? 1 : 0;
+    }
+    // Five tests a second bring a recovered server back within seconds; more only lose requests.
+    CHECK(tests >= 25);
+    CHECK(tests <= 100);
+}
