--- a/packages/decisions/src/explain/RequestStory.cpp
+++ b/packages/decisions/src/explain/RequestStory.cpp
@@ -22,7 +22,7 @@
 /// Events that change what a node believes about others or itself.
 bool isCause(const std::string &event)
 {
-    static const std::set<std::string> events = {
+    static const std::set<std::string> Events = {
         "link-lost",
         "link-opened",
         "backend-server",
@@ -34,7 +34,7 @@
         "store-regained",
         "configuration-refused",
     };
-    return events.contains(event);
+    return Events.contains(event);
 }
 
 void insertByTime(std::vector<LogRecord> &records, LogRecord record)
