Do not take a connection for idle while its answer waits for a turn

Excluded: the stop timeout (3 s away) and the backend server (had answered). Change: a connection with anything unsent is not idle. Test: 'an answer that waits for its turn on the link is still delivered when the node stops', failed before.

--- a/packages/node/src/http/ServerConnection.h
+++ b/packages/node/src/http/ServerConnection.h
@@ -21,7 +21,7 @@
     void close();
     /// Closes after the answers that are due.
     void closeWhenAnswered();
-    bool isIdle() const { return m_exchanges.empty() && m_input.empty() && m_out.empty(); }
+    bool isIdle() const { return m_input.empty() && !hasUnsent(); }
     absl::Time lastUse() const { return m_lastUse; }
     bool hasUnsent() const { return !m_exchanges.empty() || !m_out.empty() || !m_pending.empty(); }
     /// Closes the connection if it has been idle or half read for too long.
--- a/tests/node/RequestPathTests.cpp
+++ b/tests/node/RequestPathTests.cpp
@@ -439,3 +439,20 @@
     for (int i = 1; i <= 4; ++i)
         path.serverWith("X-Attempt-Id: r" + std::to_string(i) + "\r\n");
 }
+
+TEST_CASE("an answer that waits for its turn on the link is still delivered when the node stops")
+{
+    constexpr double ThinLinkMegabits = 1;
+    Path path(ThinLinkMegabits);
+    path.configure();
+    Peer &client = path.client();
+    client.write(get("/look/large", "r1"));
+    const std::string body(60'000, 'b');
+    asio::async_write(path.serverWith("r1").socket, asio::buffer(answer("r1", body)),
+                      [](auto, auto) {});
+    path.until([&] { return client.received.size() > 4096; });
+    path.until([&] { return path.ingress.callCount() == 0; });
+    path.front.stopAccepting();
+    path.until([&] { return client.isEnded; });
+    CHECK(contains(client.received, "\r\n\r\n" + body));
+}
