--- a/packages/decisions/include/godwitlift/traffic/LinkPacer.h
+++ b/packages/decisions/include/godwitlift/traffic/LinkPacer.h
@@ -11,7 +11,7 @@
 /// Follows how much of what was sent the host's link has not carried yet. Not thread-safe.
 ///
 /// Small messages leave at once and are only counted. A piece of a large answer leaves when the
-/// link is about to fall idle, so that whatever is sent next waits for one piece at most.
+/// link is about to fall idle, so that whatever is sent next waits for a few pieces at most.
 class LinkPacer final
 {
 public:
