--- a/tests/traffic/LinkPacerTests.cpp
+++ b/tests/traffic/LinkPacerTests.cpp
@@ -58,6 +58,7 @@
 
 TEST_CASE("large downloads: a small answer waits for a few pieces at most")
 {
+    // A tenth of the tightest latency objective of the deployments, 300 ms.
     CHECK(longestWait(true) < absl::Milliseconds(30));
     // Without turns it waits for the whole download.
     CHECK(longestWait(false) > absl::Milliseconds(500));
