Log which drain was acknowledged, where it is recorded and which calls changed nothing

The hypotheses of the drain incident could not be told apart by the logs: a deregistration that the node took for an earlier process left no line, an acknowledgement did not say which process it was bound to nor whether anything outside of the node had it, and a drain learnt from a peer was visible only if it changed the state.

drain-acknowledged now carries started_ms and recorded (store, peers, none); deregistration-stale and drain-recalled are new; announcement-stale says whether a drain was in it. No decision changes.

--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -77,6 +77,19 @@
 
 } // namespace
 
+std::string_view name(DrainCopy copy)
+{
+    switch (copy) {
+    case DrainCopy::None:
+        return "none";
+    case DrainCopy::Store:
+        return "store";
+    case DrainCopy::Peers:
+        return "peers";
+    }
+    return "unknown";
+}
+
 PeerMesh::PeerMesh(asio::io_context &loop, LinkScheduler &linkScheduler, Options options,
                    StoreClient &store, BackendServerGate &gate, FinishTimeSelector &selector,
                    RateLimitedLog &log, NodeMetrics &metrics, RandomSource &random)
@@ -284,7 +297,7 @@
         broadcastGateReport();
     else
         reportGateChange(false);
-    completeDrains([&](const PendingDrain &drain) {
+    completeDrains(DrainCopy::None, [&](const PendingDrain &drain) {
         return now - drain.startTime > DrainReplicationTimeout;
     });
     updateWatchRole();
@@ -362,10 +375,17 @@
     return frame;
 }
 
-void PeerMesh::onHello(const mesh::Hello &hello)
+void PeerMesh::onHello(const HostId &peer, const mesh::Hello &hello)
 {
-    if (!hello.drained_server().empty())
-        m_gate.markDrained(BackendServerId(hello.drained_server()), hello.drained_started_ms());
+    if (hello.drained_server().empty())
+        return;
+    m_log.write("drain-recalled",
+                LogLine("drain-recalled")
+                        .add("server", hello.drained_server())
+                        .add("started_ms", hello.drained_started_ms())
+                        .add("source", peer.value()),
+                steadyNow());
+    m_gate.markDrained(BackendServerId(hello.drained_server()), hello.drained_started_ms());
 }
 
 void PeerMesh::onLinkOpened(PeerLink &link)
@@ -488,7 +508,7 @@
 {
     switch (frame.content_case()) {
     case mesh::Frame::kHello:
-        onHello(frame.hello());
+        onHello(link.host().host, frame.hello());
         break;
     case mesh::Frame::kGateState:
         m_peerStates[link.host().host] = decodeNodeState(frame.gate_state());
@@ -521,7 +541,7 @@
     case mesh::Frame::kHello: {
         const PeerHost peer = decodeHost(frame.hello().self());
         session.setPeer(peer.host);
-        onHello(frame.hello());
+        onHello(peer.host, frame.hello());
         session.send(makeHello(peer.host));
         sendGateReport(session);
         addHost(peer);
@@ -546,7 +566,7 @@
     m_sessions.erase(&session);
 }
 
-void PeerMesh::replicateDrain(const DrainRecord &record, std::function<void()> done)
+void PeerMesh::replicateDrain(const DrainRecord &record, std::function<void(DrainCopy)> done)
 {
     m_pendingDrains.push_back({ record, std::move(done), 0, steadyNow() });
     mesh::Frame frame;
@@ -563,8 +583,9 @@
     }.dump();
     m_store.call(std::move(request), [this, server = record.server](const StoreAnswer &answer) {
         if (answer.outcome == StoreOutcome::Done)
-            completeDrains(
-                    [&](const PendingDrain &drain) { return drain.record.server == server; });
+            completeDrains(DrainCopy::Store, [&](const PendingDrain &drain) {
+                return drain.record.server == server;
+            });
     });
 }
 
@@ -572,14 +593,15 @@
 {
     for (PendingDrain &drain : m_pendingDrains)
         drain.acknowledgements += drain.record.server.value() == server ? 1 : 0;
-    completeDrains([](const PendingDrain &drain) {
+    completeDrains(DrainCopy::Peers, [](const PendingDrain &drain) {
         return drain.acknowledgements >= RequiredDrainAcknowledgements;
     });
 }
 
-void PeerMesh::completeDrains(const std::function<bool(const PendingDrain &)> &isComplete)
+void PeerMesh::completeDrains(DrainCopy copy,
+                              const std::function<bool(const PendingDrain &)> &isComplete)
 {
-    std::vector<std::function<void()>> callbacks;
+    std::vector<std::function<void(DrainCopy)>> callbacks;
     std::erase_if(m_pendingDrains, [&](PendingDrain &drain) {
         if (!isComplete(drain))
             return false;
@@ -587,7 +609,7 @@
         return true;
     });
     for (const auto &done : callbacks)
-        done();
+        done(copy);
 }
 
 void PeerMesh::beginShutdown(bool deletesHostRow)
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -24,6 +24,16 @@
     std::int64_t startedUnixMs = 0;
 };
 
+/// Where an acknowledged drain is recorded outside of this process.
+enum class DrainCopy : std::uint8_t {
+    None, ///< Neither the store nor enough peers confirmed it in time.
+    Store,
+    Peers
+};
+
+/// Stable lower-case name for logs.
+std::string_view name(DrainCopy copy);
+
 /// Keeps a link to every other node and accepts the links of the others as sessions.
 ///
 /// Nodes discover each other through rows in the store: a node writes its own row and then reads
@@ -56,7 +66,7 @@
     void reportGateChange(bool isUrgent);
     /// Writes \p record to the store and sends it to all peers. Calls \p done once the store or
     /// enough peers have it, or after DrainReplicationTimeout.
-    void replicateDrain(const DrainRecord &record, std::function<void()> done);
+    void replicateDrain(const DrainRecord &record, std::function<void(DrainCopy)> done);
     /// Tells peers that this node shuts down. Deletes its row in the store if \p deletesHostRow,
     /// which is for a host that is not expected to return.
     void beginShutdown(bool deletesHostRow);
@@ -76,7 +86,7 @@
     struct PendingDrain
     {
         DrainRecord record;
-        std::function<void()> done;
+        std::function<void(DrainCopy)> done;
         std::size_t acknowledgements = 0;
         absl::Time startTime;
     };
@@ -103,7 +113,8 @@
     void updateWatchRole();
     NodeState nodeState() const;
     void onDrainAcknowledged(const std::string &server);
-    void completeDrains(const std::function<bool(const PendingDrain &)> &isComplete);
+    void completeDrains(DrainCopy copy,
+                        const std::function<bool(const PendingDrain &)> &isComplete);
 
     void onLinkOpened(PeerLink &link) override;
     void onAddressTaken(PeerLink &link, const PeerHost &owner) override;
@@ -115,7 +126,8 @@
     mesh::Frame makeHello(const HostId &host) override;
     void onSessionFrame(PeerSession &session, const mesh::Frame &frame) override;
     void onSessionClosed(PeerSession &session) override;
-    void onHello(const mesh::Hello &hello);
+    /// \p peer is the sender of \p hello.
+    void onHello(const HostId &peer, const mesh::Hello &hello);
 
     asio::io_context &m_loop;
     LinkScheduler &m_linkScheduler;
--- a/packages/node/src/runtime/AnnouncementService.cpp
+++ b/packages/node/src/runtime/AnnouncementService.cpp
@@ -40,16 +40,19 @@
         acknowledge(exchange);
         return;
     }
-    m_mesh.replicateDrain({ server, startedUnixMs }, [this, exchange, server, startedUnixMs] {
-        m_acknowledgedDrainServer = server;
-        m_acknowledgedDrainStartedUnixMs = startedUnixMs;
-        m_log.write("drain-acknowledged",
-                    LogLine("drain-acknowledged")
-                            .add("server", server.value())
-                            .add("wait_ms", steadyNow() - exchange->arrivalTime()),
-                    steadyNow());
-        acknowledge(exchange);
-    });
+    m_mesh.replicateDrain(
+            { server, startedUnixMs }, [this, exchange, server, startedUnixMs](DrainCopy copy) {
+                m_acknowledgedDrainServer = server;
+                m_acknowledgedDrainStartedUnixMs = startedUnixMs;
+                m_log.write("drain-acknowledged",
+                            LogLine("drain-acknowledged")
+                                    .add("server", server.value())
+                                    .add("started_ms", startedUnixMs)
+                                    .add("recorded", name(copy))
+                                    .add("wait_ms", steadyNow() - exchange->arrivalTime()),
+                            steadyNow());
+                acknowledge(exchange);
+            });
 }
 
 void AnnouncementService::handle(const std::shared_ptr<Exchange> &exchange)
@@ -69,9 +72,15 @@
     const ServerAnnouncement &announcement = call->announcement;
     if (call->kind == ServerCall::Kind::Deregister) {
         const LifecycleChange change = m_gate.onDeregistration(announcement.id);
-        if (change == LifecycleChange::Stale)
-            acknowledge(exchange); // From an earlier process; the gate already serves a newer one.
-        else
+        if (change == LifecycleChange::Stale) {
+            // From an earlier process; the gate already serves a newer one.
+            m_log.write("deregistration-stale",
+                        LogLine("deregistration-stale")
+                                .add("server", announcement.id.value())
+                                .add("current", m_gate.lifecycle().id().value()),
+                        steadyNow());
+            acknowledge(exchange);
+        } else
             acknowledgeDrain(exchange, announcement.id, m_gate.lifecycle().startedUnixMs());
         return;
     }
@@ -87,7 +96,8 @@
                     LogLine("announcement-stale")
                             .add("server", announcement.id.value())
                             .add("sequence", announcement.sequence.value())
-                            .add("started_ms", announcement.startedUnixMs),
+                            .add("started_ms", announcement.startedUnixMs)
+                            .add("draining", announcement.isDraining ? "yes" : "no"),
                     steadyNow());
     if (announcement.isDraining && change != LifecycleChange::Stale)
         acknowledgeDrain(exchange, announcement.id, announcement.startedUnixMs);
