--- /dev/null
+++ b/tests/process/drains.py
@@ -0,0 +1,250 @@
+"""Tests with real nodes that an acknowledged drain holds, whatever arrives late and whatever restarts.
+
+  drains.py SCENARIO
+
+Exit code 0 if the scenario holds. The nodes' logs are printed if it does not."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import tempfile
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.insert(0, os.path.join(ROOT, "tests", "soak"))
+
+from standins import BackendServer, HttpStream, Store  # noqa: E402
+
+NODE = os.path.join(os.environ.get("GODWITLIFT_BUILD", os.path.join(ROOT, "build")),
+                    "packages", "godwitliftd", "godwitliftd")
+FIRST_PORT = 33000 + 60 * (os.getpid() % 50)
+STORE_PORT = FIRST_PORT
+# Longest wait for a state that a scenario builds on.
+READY_TIMEOUT = 10.0
+# Time in which requests are sent after an acknowledged drain. Longer than a node's tick, its links'
+# reconnect delay and the interval of its reports, so that everything that reopens a gate is seen.
+OBSERVATION_TIME = 3.0
+
+
+class Host:
+    """A node process and its backend server."""
+
+    def __init__(self, number, folder, executions):
+        self.name = f"host-{number}"
+        (self.client_port, self.readiness_port, self.announcement_port, self.peer_port,
+         self.metrics_port, self.backend_port) = range(FIRST_PORT + 10 * (number + 1),
+                                                       FIRST_PORT + 10 * (number + 1) + 6)
+        address = f"127.0.0.1:{self.backend_port}"
+        self.backend = BackendServer(self.name, "desk", address, executions)
+        self.settings = os.path.join(folder, self.name + ".json")
+        self.log = os.path.join(folder, self.name + ".log")
+        self.process = None
+        listen = {"clients": self.client_port, "readiness": self.readiness_port,
+                  "announcements": self.announcement_port, "peers": self.peer_port,
+                  "metrics": self.metrics_port}
+        document = {
+            "host": self.name, "availability_zone": "zone-0", "service": "desk",
+            "backend_server": address,
+            "listen": {name: f"127.0.0.1:{port}" for name, port in listen.items()},
+            "store": f"127.0.0.1:{STORE_PORT}", "limits": {"descriptors": 1024},
+            "bounds": {"announcement_interval": "870ms", "stop_timeout": "6s", "retry_ratio": 0.2,
+                       "retry_slack": 60, "retry_window": "10s"}}
+        with open(self.settings, "w", encoding="utf-8") as file:
+            json.dump(document, file)
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen([NODE, "mesh", "--settings", self.settings],
+                                            stdout=log, stderr=log)
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    async def restart(self):
+        """Ends the node alone, without notice, and waits until it accepts announcements again."""
+        self.kill()
+        self.start()
+        await wait_until(lambda: can_connect(self.announcement_port), f"start of {self.name}")
+
+
+async def can_connect(port):
+    try:
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+async def wait_until(condition, description):
+    deadline = asyncio.get_running_loop().time() + READY_TIMEOUT
+    while not await condition():
+        if asyncio.get_running_loop().time() > deadline:
+            raise AssertionError(f"{description}: not within {READY_TIMEOUT} s")
+        await asyncio.sleep(0.02)
+
+
+class Deployment:
+    """A store and hosts whose backend servers all run the same service."""
+
+    def __init__(self, folder, host_count):
+        self.store = Store()
+        self.executions = {}
+        self.hosts = [Host(number, folder, self.executions) for number in range(host_count)]
+        self.last_request_number = 0
+
+    async def start(self):
+        await self.store.start(STORE_PORT)
+        route = {"entry_kind": "routes", "metadata": {"name": "look"},
+                 "spec": {"host": "a.example", "prefix": "/look/", "kind": "safe",
+                          "timeout": "1500ms", "target_latency": "500ms", "priority": 0,
+                          "service": "desk", "max_attempts": 2}}
+        service = {"entry_kind": "services", "metadata": {"name": "desk"},
+                   "spec": {"health_path": "/health", "max_connections": 100}}
+        limits = {"entry_kind": "limits", "metadata": {},
+                  "spec": {"max_header_bytes": 16384, "max_body_bytes": 1048576,
+                           "header_timeout": "3000ms", "idle_timeout": "15s"}}
+        self.store.put("op", "config", json.dumps(
+            {"version": "00000001", "resources": [route, service, limits]}).encode())
+        for host in self.hosts:
+            await host.backend.start(host.backend_port)
+            host.start()
+
+    async def send_request(self, host):
+        """Returns the status of the answer, or None without one."""
+        self.last_request_number += 1
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", host.client_port)
+            stream = HttpStream(reader, writer)
+            await stream.send_message("GET /look/x HTTP/1.1",
+                                      {"Host": "a.example", "X-Deadline-Ms": "1000",
+                                       "X-Attempt-Id": f"r-{self.last_request_number}"})
+            answer = await asyncio.wait_for(stream.read_message(), 2)
+            writer.close()
+        except (OSError, asyncio.TimeoutError):
+            return None
+        return int(answer[0].split(" ")[1]) if answer else None
+
+    async def wait_until_served(self, host, server=None):
+        """Waits until a request that arrives at \\p host runs, at \\p server if that is given."""
+        async def is_served():
+            status = await self.send_request(host)
+            runs = self.executions.get(f"r-{self.last_request_number}", [])
+            return status == 200 and (server is None or any(run[1] == server for run in runs))
+        await wait_until(is_served, f"first request served through {host.name}")
+
+    async def check_unreached(self, server, late_announcements):
+        """Sends requests to all hosts while late announcements arrive, and requires that none runs
+        at \\p server."""
+        self.executions.clear()
+        deadline = asyncio.get_running_loop().time() + OBSERVATION_TIME
+        while asyncio.get_running_loop().time() < deadline:
+            await late_announcements()
+            for host in self.hosts:
+                await self.send_request(host)
+            await asyncio.sleep(0.05)
+        reached = [request for request, runs in self.executions.items()
+                   if any(run[1] == server for run in runs)]
+        assert not reached, f"{len(reached)} requests ran at {server} after its drain"
+
+
+async def announce_late(host):
+    """Delivers an announcement that the backend server sent while it was ready."""
+    await host.backend.announce(host.announcement_port, state="ready", sequence=1)
+
+
+# Guards against a deregistration that is recorded for another process than the one that sent it.
+async def late_announcement_of_a_deregistered_server_that_was_known_from_its_probe(deployment):
+    host = deployment.hosts[0]
+    await deployment.wait_until_served(host)
+    assert await host.backend.deregister(host.announcement_port)
+    await deployment.check_unreached(host.backend.id, lambda: announce_late(host))
+
+
+# Guards against a drain that is forgotten when the node alone restarts.
+async def node_restart_after_deregistration(deployment):
+    host = deployment.hosts[0]
+    await host.backend.announce(host.announcement_port)
+    await deployment.wait_until_served(host)
+    assert await host.backend.deregister(host.announcement_port)
+    await host.restart()
+    await deployment.check_unreached(host.backend.id, lambda: announce_late(host))
+
+
+# Guards against a restarted node that takes requests before it has heard of the drain from its peers.
+async def node_restart_after_drain_without_store(deployment):
+    host = deployment.hosts[0]
+    for each in deployment.hosts:
+        await each.backend.announce(each.announcement_port)
+        await deployment.wait_until_served(each, each.backend.id)
+    deployment.store.mode = "refusing"
+    assert await host.backend.deregister(host.announcement_port)
+    await host.restart()
+    await deployment.check_unreached(host.backend.id, lambda: announce_late(host))
+
+
+# Guards against the acknowledgement of a drain that a restarted node could not know.
+async def acknowledgement_only_after_the_drain_is_recorded(deployment):
+    host = deployment.hosts[0]
+    await host.backend.announce(host.announcement_port)
+    await deployment.wait_until_served(host)
+    deployment.store.mode = "refusing"
+    assert not await host.backend.deregister(host.announcement_port), \
+        "acknowledged although neither the store nor a peer has a record"
+    deployment.store.mode = "ok"
+    await wait_until(lambda: host.backend.deregister(host.announcement_port),
+                     "acknowledgement after the store's return")
+    await host.restart()
+    await deployment.check_unreached(host.backend.id, lambda: announce_late(host))
+
+
+# Guards against a drain that also closes the gate for a later process with the same id.
+async def later_process_with_the_id_of_a_drained_one(deployment):
+    host = deployment.hosts[0]
+    await host.backend.announce(host.announcement_port)
+    await deployment.wait_until_served(host)
+    assert await host.backend.deregister(host.announcement_port)
+    await host.restart()
+    await asyncio.sleep(0.1)
+    drained = host.backend.id
+    host.backend.restart()
+    host.backend.id = drained
+    await host.backend.announce(host.announcement_port)
+    await deployment.wait_until_served(host, drained)
+
+
+SCENARIOS = {function.__name__: (function, host_count) for function, host_count in (
+    (late_announcement_of_a_deregistered_server_that_was_known_from_its_probe, 1),
+    (node_restart_after_deregistration, 1),
+    (node_restart_after_drain_without_store, 3),
+    (acknowledgement_only_after_the_drain_is_recorded, 1),
+    (later_process_with_the_id_of_a_drained_one, 1))}
+
+
+async def run(scenario, host_count, folder):
+    deployment = Deployment(folder, host_count)
+    await deployment.start()
+    try:
+        await scenario(deployment)
+        return True
+    except AssertionError as failure:
+        print(f"FAILED: {failure}")
+        for host in deployment.hosts:
+            with open(host.log, encoding="utf-8") as log:
+                print(f"--- {host.name}\n{log.read()}")
+        return False
+    finally:
+        for host in deployment.hosts:
+            host.kill()
+
+
+def main():
+    scenario, host_count = SCENARIOS[sys.argv[1]]
+    with tempfile.TemporaryDirectory(prefix="drains-") as folder:
+        sys.exit(0 if asyncio.run(run(scenario, host_count, folder)) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -147,7 +147,7 @@
 class BackendServer:
     """One backend server, which records each execution of a request."""
 
-    def __init__(self, host, service, address, executions, random_source):
+    def __init__(self, host, service, address, executions, random_source=random):
         self.host = host
         self.service = service
         self.address = address
@@ -172,25 +172,39 @@
     async def start(self, port):
         return await asyncio.start_server(self.serve_connection, "127.0.0.1", port)
 
-    async def announce(self, announcement_port):
-        """Sends one announcement and records when a drain is acknowledged."""
-        self.sequence += 1
-        state, server = self.state, self.id
+    async def announce(self, announcement_port, state=None, sequence=None):
+        """Sends one announcement, by default the next one in the present state; true if it was
+        acknowledged."""
+        if sequence is None:
+            self.sequence += 1
+            sequence = self.sequence
+        state = state or self.state
         body = json.dumps({"service": self.service, "address": self.address, "zone": "z",
                            "version": "v1", "slots": 8, "state": state, "cold_remaining": "0ms",
-                           "sequence": self.sequence, "born": self.started_unix_ms}).encode()
+                           "sequence": sequence, "born": self.started_unix_ms}).encode()
+        return await self.call_node(announcement_port, "Heartbeat", body, state == "draining")
+
+    async def deregister(self, announcement_port):
+        """Stops being ready and sends a deregistration; true if it was acknowledged."""
+        self.state = "leaving"
+        return await self.call_node(announcement_port, "Deregister", b"", True)
+
+    async def call_node(self, announcement_port, call, body, is_drain):
+        """Sends a call to the node and records when a drain is acknowledged."""
+        server = self.id
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", announcement_port)
             stream = HttpStream(reader, writer)
-            await stream.send_message(f"POST /godwitlift/Instances.Heartbeat/{server} HTTP/1.1",
+            await stream.send_message(f"POST /godwitlift/Instances.{call}/{server} HTTP/1.1",
                                       {"Host": "n"}, body)
             answer = await asyncio.wait_for(stream.read_message(), 1)
             writer.close()
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            return
-        if (answer is not None and " 200 " in answer[0] + " " and state == "draining"
-                and server == self.id and self.drained_at is None):
+            return False
+        is_acknowledged = answer is not None and " 200 " in answer[0] + " "
+        if is_acknowledged and is_drain and server == self.id and self.drained_at is None:
             self.drained_at = time.monotonic()
+        return is_acknowledged
 
     async def serve_connection(self, reader, writer):
         stream = HttpStream(reader, writer)
