Evict the least recent drain, not the smallest id

A host keeps the drains that it has acknowledged so that a late announcement does not reopen its gate. At the limit of 64 the entry with the smallest id was evicted: the drain in force, if its id happened to be the smallest, while drains of processes that had long ended were kept.

--- a/packages/decisions/include/godwitlift/traffic/ServerLifecycle.h
+++ b/packages/decisions/include/godwitlift/traffic/ServerLifecycle.h
@@ -3,11 +3,11 @@
 #pragma once
 
 #include "godwitlift/base/StrongId.h"
+#include "godwitlift/traffic/DrainRecords.h"
 
 #include <absl/time/time.h>
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string_view>
 
@@ -68,9 +68,6 @@
     std::int64_t startedUnixMs() const { return m_current.startedUnixMs; }
 
 private:
-    /// Drained ids that are kept; a host has a few in its lifetime.
-    static constexpr std::size_t DrainedLimit = 64;
-
     bool isStale(const ServerAnnouncement &announcement) const;
     bool hasDrained(const ServerAnnouncement &announcement) const;
 
@@ -78,8 +75,7 @@
     ServerState m_state = ServerState::Absent;
     absl::Time m_lastAnnouncement = absl::InfinitePast();
     absl::Time m_coldUntil = absl::InfinitePast();
-    /// Start times of drained processes by id; a later process may reuse the id.
-    std::map<BackendServerId, std::int64_t> m_drained;
+    DrainRecords m_drained;
 };
 
 } // namespace godwitlift
--- /dev/null
+++ b/packages/decisions/src/traffic/DrainRecords.cpp
@@ -0,0 +1,34 @@
+/// \file
+/// Merging and eviction of drain records.
+#include "godwitlift/traffic/DrainRecords.h"
+
+#include <algorithm>
+
+namespace godwitlift {
+
+bool DrainRecords::add(const DrainRecord &record)
+{
+    DrainRecord merged = record;
+    bool coversMore = true;
+    const auto it = std::find_if(m_records.begin(), m_records.end(), [&](const DrainRecord &known) {
+        return known.server == record.server;
+    });
+    if (it != m_records.end()) {
+        coversMore = record.startedUpToUnixMs > it->startedUpToUnixMs;
+        merged.startedUpToUnixMs = std::max(it->startedUpToUnixMs, record.startedUpToUnixMs);
+        m_records.erase(it);
+    }
+    if (m_records.size() >= Limit)
+        m_records.erase(m_records.begin());
+    m_records.push_back(std::move(merged));
+    return coversMore;
+}
+
+bool DrainRecords::covers(const BackendServerId &server, std::int64_t startedUnixMs) const
+{
+    return std::any_of(m_records.begin(), m_records.end(), [&](const DrainRecord &record) {
+        return record.server == server && startedUnixMs <= record.startedUpToUnixMs;
+    });
+}
+
+} // namespace godwitlift
--- a/packages/decisions/src/traffic/ServerLifecycle.cpp
+++ b/packages/decisions/src/traffic/ServerLifecycle.cpp
@@ -2,8 +2,6 @@
 /// State changes of the host's own backend server.
 #include "godwitlift/traffic/ServerLifecycle.h"
 
-#include <algorithm>
-
 namespace godwitlift {
 
 std::string_view name(ServerState state)
@@ -21,18 +19,14 @@
 
 void ServerLifecycle::markDrained(const BackendServerId &id, std::int64_t startedUnixMs)
 {
-    if (m_drained.size() >= DrainedLimit)
-        m_drained.erase(m_drained.begin());
-    std::int64_t &drainedStart = m_drained[id];
-    drainedStart = std::max(drainedStart, startedUnixMs);
+    m_drained.add({ id, startedUnixMs });
     if (id == m_current.id && m_state == ServerState::Ready && hasDrained(m_current))
         m_state = ServerState::Draining;
 }
 
 bool ServerLifecycle::hasDrained(const ServerAnnouncement &announcement) const
 {
-    const auto it = m_drained.find(announcement.id);
-    return it != m_drained.end() && announcement.startedUnixMs <= it->second;
+    return m_drained.covers(announcement.id, announcement.startedUnixMs);
 }
 
 bool ServerLifecycle::isStale(const ServerAnnouncement &announcement) const
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -370,7 +370,7 @@
     const auto drained = m_peerDrains.find(host);
     if (drained != m_peerDrains.end()) {
         hello.set_drained_server(drained->second.server.value());
-        hello.set_drained_started_ms(drained->second.startedUnixMs);
+        hello.set_drained_started_ms(drained->second.startedUpToUnixMs);
     }
     return frame;
 }
@@ -571,7 +571,7 @@
     m_pendingDrains.push_back({ record, std::move(done), 0, steadyNow() });
     mesh::Frame frame;
     frame.mutable_drain_notice()->set_server(record.server.value());
-    frame.mutable_drain_notice()->set_started_ms(record.startedUnixMs);
+    frame.mutable_drain_notice()->set_started_ms(record.startedUpToUnixMs);
     for (const auto &[key, session] : m_sessions)
         session->send(frame);
     StoreRequest request;
@@ -579,7 +579,7 @@
     request.table = DrainTable;
     request.key = m_options.ownHost.host.value();
     request.value = nlohmann::json{
-        { "server", record.server.value() }, { "started_ms", record.startedUnixMs }
+        { "server", record.server.value() }, { "started_ms", record.startedUpToUnixMs }
     }.dump();
     m_store.call(std::move(request), [this, server = record.server](const StoreAnswer &answer) {
         if (answer.outcome == StoreOutcome::Done)
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -16,14 +16,6 @@
 
 namespace godwitlift {
 
-/// Identifies a backend server process that was drained. Peers keep the records of other hosts and
-/// return them in the hello, so that a restarted node does not use a drained process again.
-struct DrainRecord
-{
-    BackendServerId server;
-    std::int64_t startedUnixMs = 0;
-};
-
 /// Where an acknowledged drain is recorded outside of this process.
 enum class DrainCopy : std::uint8_t {
     None, ///< Neither the store nor enough peers confirmed it in time.
@@ -144,8 +136,10 @@
     LocalGateway m_ownGateway;
     std::map<HostId, std::unique_ptr<PeerLink>> m_links;
     std::map<PeerSession *, std::shared_ptr<PeerSession>> m_sessions;
-    std::map<HostId, DrainRecord> m_peerDrains; ///< Of the other hosts.
-    std::map<HostId, NodeState> m_peerStates;   ///< Latest report on each link that is up.
+    /// Of the other hosts; returned in the hello, so that a restarted node does not use a drained
+    /// process again.
+    std::map<HostId, DrainRecord> m_peerDrains;
+    std::map<HostId, NodeState> m_peerStates; ///< Latest report on each link that is up.
     absl::Time m_lastConfigurationRequestTime = absl::InfinitePast();
     /// When the link will have carried the large changes that were sent last.
     absl::Time m_largeTransferEnd = absl::InfinitePast();
--- a/tests/traffic/ServerLifecycleTests.cpp
+++ b/tests/traffic/ServerLifecycleTests.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
+
 using namespace godwitlift;
 
 namespace {
@@ -76,6 +78,21 @@
     CHECK(lifecycle.state() == ServerState::Draining);
 }
 
+// Guards against evicting the latest drain while drains of long-gone processes are kept.
+TEST_CASE("the least recent drain is evicted first")
+{
+    ServerLifecycle lifecycle;
+    // Ids in descending order, so that the latest drained one is the smallest.
+    for (int i = 199; i >= 100; --i)
+        lifecycle.markDrained(BackendServerId("i-" + std::to_string(i)), 10);
+    lifecycle.onAnnouncement(announcement("i-100", 10, 1), Start);
+    CHECK(lifecycle.state() == ServerState::Draining);
+    // One more drain must not evict the one that is in force.
+    lifecycle.markDrained(BackendServerId("i-200"), 10);
+    lifecycle.onAnnouncement(announcement("i-100", 10, 2), Start);
+    CHECK(lifecycle.state() == ServerState::Draining);
+}
+
 TEST_CASE("a lost backend server is ready again after its next announcement")
 {
     ServerLifecycle lifecycle;
