Record every drain that is acknowledged, also of another process than the current one

A node acknowledged a deregistration or a draining announcement that seemed to concern an earlier process and recorded neither. It may be of a later process whose first announcement is late, of a process whose start time lies behind because the wall clock was set back, or a draining announcement that was overtaken by one with a higher sequence. A late announcement of that process then opened the gate of a server that had its acknowledgement.

A drain is now recorded before its order is judged, and its acknowledgement waits for the copy of the record like every other one. The state is derived in one place from the current process, the records and whether the process was lost, so that no path can set it past a record. A health probe is an input of its own: it shows an id at present but no start time, which the first announcement adds. It used to be passed as an announcement with start time 0, which later ones replaced as if by a new process.

--- a/packages/decisions/include/godwitlift/traffic/ServerLifecycle.h
+++ b/packages/decisions/include/godwitlift/traffic/ServerLifecycle.h
@@ -45,15 +45,17 @@
 
 /// Tracks the backend server by announcements that may arrive late or twice. Not thread-safe.
 ///
-/// Invariants: a process that drained or deregistered never accepts requests again; of one process,
-/// only announcements with a higher sequence are applied; an earlier process never replaces a later
-/// one.
+/// Invariants: a process that drained or deregistered never accepts requests again, whether or not
+/// it was the current one at that time; of one process, only announcements with a higher sequence
+/// are applied; an earlier process never replaces a later one.
 class ServerLifecycle final
 {
 public:
-    /// Marks the process \p id that started at \p startedUnixMs as drained or deregistered.
-    void markDrained(const BackendServerId &id, std::int64_t startedUnixMs);
+    /// Marks the processes \p id that started by \p startedUnixMs as drained or deregistered.
+    LifecycleChange markDrained(const BackendServerId &id, std::int64_t startedUnixMs);
     LifecycleChange onAnnouncement(const ServerAnnouncement &announcement, absl::Time now);
+    /// The process \p id has answered a health probe as healthy. \p slots is 0 if unknown.
+    LifecycleChange onHealthyProbe(const BackendServerId &id, std::uint32_t slots);
     /// A process \p id leaves. The message does not tell which one, so that every process of that
     /// id which had started by \p wallClock is drained. Stale if another id is current.
     LifecycleChange onDeregistration(const BackendServerId &id, absl::Time wallClock);
@@ -73,9 +75,13 @@
 private:
     bool isStale(const ServerAnnouncement &announcement) const;
     bool hasDrained(const ServerAnnouncement &announcement) const;
+    ServerState determineState() const;
+    /// Determines the state again; \p isOtherProcess tells that the current process has changed.
+    LifecycleChange updateState(bool isOtherProcess);
 
     ServerAnnouncement m_current;
     ServerState m_state = ServerState::Absent;
+    bool m_isLost = false; ///< The current process was lost and has not shown itself since.
     absl::Time m_lastAnnouncement = absl::InfinitePast();
     absl::Time m_coldUntil = absl::InfinitePast();
     DrainRecords m_drained;
--- a/packages/decisions/src/traffic/ServerLifecycle.cpp
+++ b/packages/decisions/src/traffic/ServerLifecycle.cpp
@@ -19,11 +19,10 @@
     return "unknown";
 }
 
-void ServerLifecycle::markDrained(const BackendServerId &id, std::int64_t startedUnixMs)
+LifecycleChange ServerLifecycle::markDrained(const BackendServerId &id, std::int64_t startedUnixMs)
 {
     m_drained.add({ id, startedUnixMs });
-    if (id == m_current.id && m_state == ServerState::Ready && hasDrained(m_current))
-        m_state = ServerState::Draining;
+    return updateState(false);
 }
 
 bool ServerLifecycle::hasDrained(const ServerAnnouncement &announcement) const
@@ -31,55 +30,104 @@
     return m_drained.covers(announcement.id, announcement.startedUnixMs);
 }
 
+ServerState ServerLifecycle::determineState() const
+{
+    if (m_isLost || m_current.id.isEmpty())
+        return ServerState::Absent;
+    if (m_current.isDraining || hasDrained(m_current))
+        return ServerState::Draining;
+    return ServerState::Ready;
+}
+
+LifecycleChange ServerLifecycle::updateState(bool isOtherProcess)
+{
+    const ServerState previousState = m_state;
+    m_state = determineState();
+    if (m_state == previousState && (!isOtherProcess || m_state == ServerState::Absent))
+        return LifecycleChange::None;
+    switch (m_state) {
+    case ServerState::Ready:
+        return LifecycleChange::Started;
+    case ServerState::Draining:
+        return LifecycleChange::Draining;
+    case ServerState::Absent:
+        return LifecycleChange::Lost;
+    }
+    return LifecycleChange::None;
+}
+
 bool ServerLifecycle::isStale(const ServerAnnouncement &announcement) const
 {
     if (m_current.id.isEmpty())
         return false;
+    const bool isCurrentId = announcement.id == m_current.id;
+    if (isCurrentId && m_current.startedUnixMs == 0 && announcement.startedUnixMs != 0)
+        return false;
+    // The order of two processes is unknown until the start times of both are known.
+    if (!isCurrentId && m_current.startedUnixMs == 0 && m_state == ServerState::Ready
+        && hasDrained(announcement))
+        return true;
     if (announcement.startedUnixMs != m_current.startedUnixMs)
         return announcement.startedUnixMs < m_current.startedUnixMs;
-    return announcement.id == m_current.id && announcement.sequence <= m_current.sequence;
+    return isCurrentId && announcement.sequence <= m_current.sequence;
 }
 
 LifecycleChange ServerLifecycle::onAnnouncement(const ServerAnnouncement &announcement,
                                                 absl::Time now)
 {
-    if (isStale(announcement))
-        return LifecycleChange::Stale;
-    const bool isOtherProcess = announcement.id != m_current.id
-                                || announcement.startedUnixMs != m_current.startedUnixMs;
-    const ServerState previousState = m_state;
+    const bool isCurrentId = announcement.id == m_current.id;
+    // A drain is acknowledged even if it is late, so that it is recorded before anything else.
+    if (announcement.isDraining) {
+        const bool isOfCurrent = isCurrentId && announcement.startedUnixMs == 0;
+        m_drained.add({ announcement.id,
+                        isOfCurrent ? m_current.startedUnixMs : announcement.startedUnixMs });
+    }
+    if (isStale(announcement)) {
+        const LifecycleChange change = updateState(false);
+        return change == LifecycleChange::None ? LifecycleChange::Stale : change;
+    }
+    // A probe does not tell the start time; the first announcement adds it.
+    const bool isOtherProcess = !isCurrentId
+                                || (m_current.startedUnixMs != 0
+                                    && announcement.startedUnixMs != m_current.startedUnixMs);
     m_current = announcement;
     m_lastAnnouncement = now;
     m_coldUntil = now + announcement.coldRemaining;
-    const bool acceptsRequests = !announcement.isDraining && !hasDrained(announcement);
-    m_state = acceptsRequests ? ServerState::Ready : ServerState::Draining;
-    if (announcement.isDraining)
-        markDrained(announcement.id, announcement.startedUnixMs);
-    if (isOtherProcess && m_state == ServerState::Ready)
-        return LifecycleChange::Started;
-    if (m_state == previousState && !isOtherProcess)
-        return LifecycleChange::None;
-    return m_state == ServerState::Draining ? LifecycleChange::Draining : LifecycleChange::Started;
+    m_isLost = false;
+    return updateState(isOtherProcess);
+}
+
+LifecycleChange ServerLifecycle::onHealthyProbe(const BackendServerId &id, std::uint32_t slots)
+{
+    const bool isOtherProcess = id != m_current.id;
+    if (isOtherProcess) {
+        m_current = ServerAnnouncement();
+        m_current.id = id;
+    }
+    if (slots != 0)
+        m_current.slots = slots;
+    m_isLost = false;
+    return updateState(isOtherProcess);
 }
 
 LifecycleChange ServerLifecycle::onDeregistration(const BackendServerId &id, absl::Time wallClock)
 {
-    if (id != m_current.id && !m_current.id.isEmpty())
-        return LifecycleChange::Stale;
-    const bool wasReady = m_state == ServerState::Ready;
+    const bool isCurrent = id == m_current.id;
     // A process that is known and already drained has only repeated itself.
-    const bool isKnownDrain = m_current.startedUnixMs != 0 && hasDrained(m_current);
-    if (!isKnownDrain)
-        markDrained(id, std::max(m_current.startedUnixMs, absl::ToUnixMillis(wallClock)));
-    return wasReady ? LifecycleChange::Draining : LifecycleChange::None;
+    const bool isKnownDrain = isCurrent && m_current.startedUnixMs != 0 && hasDrained(m_current);
+    if (!isKnownDrain) {
+        const std::int64_t started = isCurrent ? m_current.startedUnixMs : 0;
+        m_drained.add({ id, std::max(started, absl::ToUnixMillis(wallClock)) });
+    }
+    if (!isCurrent && !m_current.id.isEmpty())
+        return LifecycleChange::Stale;
+    return updateState(false);
 }
 
 LifecycleChange ServerLifecycle::onLost()
 {
-    if (m_state == ServerState::Absent)
-        return LifecycleChange::None;
-    m_state = ServerState::Absent;
-    return LifecycleChange::Lost;
+    m_isLost = true;
+    return updateState(false);
 }
 
 bool ServerLifecycle::isOverdue(absl::Time now, absl::Duration limit) const
--- a/packages/node/src/gate/BackendServerGate.cpp
+++ b/packages/node/src/gate/BackendServerGate.cpp
@@ -190,10 +190,7 @@
                 m_head.status, [this](std::string_view name) { return m_head.fields.find(name); });
         if (!answer || !answer->isHealthy || m_owner.m_lifecycle.state() == ServerState::Ready)
             return;
-        ServerAnnouncement announcement;
-        announcement.id = answer->id;
-        announcement.slots = answer->slots;
-        m_owner.applyLifecycleChange(m_owner.m_lifecycle.onAnnouncement(announcement, steadyNow()),
+        m_owner.applyLifecycleChange(m_owner.m_lifecycle.onHealthyProbe(answer->id, answer->slots),
                                      "probe");
     }
     void onExchangeFailed(Reason, bool) override
@@ -426,10 +423,7 @@
 
 void BackendServerGate::markDrained(const BackendServerId &id, std::int64_t startedUnixMs)
 {
-    const ServerState before = m_lifecycle.state();
-    m_lifecycle.markDrained(id, startedUnixMs);
-    if (m_lifecycle.state() != before)
-        applyLifecycleChange(LifecycleChange::Draining, "drain-record");
+    applyLifecycleChange(m_lifecycle.markDrained(id, startedUnixMs), "drain-record");
 }
 
 void BackendServerGate::onServerLost(std::string_view cause)
--- a/packages/node/src/runtime/AnnouncementService.cpp
+++ b/packages/node/src/runtime/AnnouncementService.cpp
@@ -69,16 +69,13 @@
     const ServerAnnouncement &announcement = call->announcement;
     if (call->kind == ServerCall::Kind::Deregister) {
         const LifecycleChange change = m_gate.onDeregistration(announcement.id);
-        if (change == LifecycleChange::Stale) {
-            // From an earlier process; the gate already serves a newer one.
+        if (change == LifecycleChange::Stale)
             m_log.write("deregistration-stale",
                         LogLine("deregistration-stale")
                                 .add("server", announcement.id.value())
                                 .add("current", m_gate.lifecycle().id().value()),
                         steadyNow());
-            acknowledge(exchange);
-        } else
-            acknowledgeDrain(exchange, *m_gate.lifecycle().drains().find(announcement.id));
+        acknowledgeDrain(exchange, *m_gate.lifecycle().drains().find(announcement.id));
         return;
     }
     if (call->service != m_service || call->address != m_backendServerAddress) {
@@ -96,8 +93,8 @@
                             .add("started_ms", announcement.startedUnixMs)
                             .add("draining", announcement.isDraining ? "yes" : "no"),
                     steadyNow());
-    if (announcement.isDraining && change != LifecycleChange::Stale)
-        acknowledgeDrain(exchange, { announcement.id, announcement.startedUnixMs });
+    if (announcement.isDraining)
+        acknowledgeDrain(exchange, *m_gate.lifecycle().drains().find(announcement.id));
     else
         acknowledge(exchange);
 }
--- a/tests/traffic/ServerLifecycleTests.cpp
+++ b/tests/traffic/ServerLifecycleTests.cpp
@@ -155,3 +155,61 @@
     lifecycle.onAnnouncement(announcement("a", started, 2), Start);
     CHECK(lifecycle.state() == ServerState::Draining);
 }
+
+// Guards against a drain that is acknowledged without a record, because it seems to concern an
+// earlier process.
+TEST_CASE("a drain of a process that is not the current one is recorded")
+{
+    ServerLifecycle lifecycle;
+    lifecycle.onAnnouncement(announcement("a", 10, 1), Start);
+    SECTION("deregistration before the first announcement of a later process")
+    {
+        CHECK(lifecycle.onDeregistration(BackendServerId("b"), WallClock)
+              == LifecycleChange::Stale);
+    }
+    SECTION("draining announcement that an earlier start time makes stale")
+    {
+        // The wall clock was set back between the starts of the two processes.
+        CHECK(lifecycle.onAnnouncement(announcement("b", 5, 3, true), Start)
+              == LifecycleChange::Stale);
+        CHECK(lifecycle.drains().covers(BackendServerId("b"), 5));
+        lifecycle.onDeregistration(BackendServerId("b"), WallClock);
+    }
+    CHECK(lifecycle.state() == ServerState::Ready);
+    lifecycle.onAnnouncement(announcement("b", 20, 1), Start);
+    CHECK(lifecycle.state() == ServerState::Draining);
+}
+
+// Guards against acknowledging a drain whose announcement was overtaken by a later one.
+TEST_CASE("a draining announcement with a lower sequence than the last one still drains")
+{
+    ServerLifecycle lifecycle;
+    lifecycle.onAnnouncement(announcement("a", 10, 6), Start);
+    SECTION("with its start time")
+    {
+        lifecycle.onAnnouncement(announcement("a", 10, 5, true), Start);
+    }
+    SECTION("without a start time")
+    {
+        lifecycle.onAnnouncement(announcement("a", 0, 5, true), Start);
+    }
+    CHECK(lifecycle.state() == ServerState::Draining);
+    lifecycle.onAnnouncement(announcement("a", 10, 7), Start);
+    CHECK(lifecycle.state() == ServerState::Draining);
+}
+
+TEST_CASE("the first announcement adds the start time of a process known from its probe")
+{
+    ServerLifecycle lifecycle;
+    CHECK(lifecycle.onHealthyProbe(BackendServerId("a"), 18) == LifecycleChange::Started);
+    CHECK(lifecycle.onAnnouncement(announcement("a", 10, 1), Start) == LifecycleChange::None);
+    CHECK(lifecycle.startedUnixMs() == 10);
+    SECTION("a late announcement of a drained process does not replace it")
+    {
+        ServerLifecycle other;
+        other.markDrained(BackendServerId("old"), 10);
+        other.onHealthyProbe(BackendServerId("new"), 18);
+        CHECK(other.onAnnouncement(announcement("old", 10, 9), Start) == LifecycleChange::Stale);
+        CHECK(other.state() == ServerState::Ready);
+    }
+}
