Recall the acknowledged drains when a node starts

Requests reached a backend server that had deregistered after its node alone had restarted.

Cause: the acknowledged drain was state that had to outlive the process. It was written to the store and never read back; peers returned the latest one in their hello, after the gate could have opened; peers that joined or restarted later had none; and a late announcement was enough to open the gate.

One earlier run of another scenario failed with 'Address already in use': its ports lay in the kernel's ephemeral range, where the test's own outgoing connections had taken one; they now lie below it.

DrainReplicator owns the copies. A starting node reads its row and, until the row or two peers that had met an earlier process of the node have told what they keep, admits only a process that answers a health probe as healthy: an announcement may be older than the drain, a probe is not. Hellos carry all records; a peer gets the records when it connects; a peer says which process of the node it has met, so that one that has restarted itself does not count. The row holds the latest 16 drains, is written under the condition of its revision, so that a delayed write of an earlier process cannot replace a later one, and is written again until the store has it. Rows of earlier versions are read.

--- a/packages/decisions/include/godwitlift/traffic/ServerLifecycle.h
+++ b/packages/decisions/include/godwitlift/traffic/ServerLifecycle.h
@@ -47,12 +47,18 @@
 ///
 /// Invariants: a process that drained or deregistered never accepts requests again, whether or not
 /// it was the current one at that time; of one process, only announcements with a higher sequence
-/// are applied; an earlier process never replaces a later one.
+/// are applied; an earlier process never replaces a later one; while a recall is awaited, only a
+/// process that has answered a health probe accepts requests.
 class ServerLifecycle final
 {
 public:
     /// Marks the processes \p id that started by \p startedUnixMs as drained or deregistered.
     LifecycleChange markDrained(const BackendServerId &id, std::int64_t startedUnixMs);
+    /// The drains that an earlier process of the node acknowledged are not known yet. An
+    /// announcement may have been sent before such a drain, so that it proves nothing until
+    /// onDrainsRecalled(); a health probe shows the present state.
+    void awaitDrainRecall() { m_isRecallAwaited = true; }
+    LifecycleChange onDrainsRecalled();
     LifecycleChange onAnnouncement(const ServerAnnouncement &announcement, absl::Time now);
     /// The process \p id has answered a health probe as healthy. \p slots is 0 if unknown.
     LifecycleChange onHealthyProbe(const BackendServerId &id, std::uint32_t slots);
@@ -71,6 +77,8 @@
     std::int64_t startedUnixMs() const { return m_current.startedUnixMs; }
     /// All processes that get no more requests.
     const DrainRecords &drains() const { return m_drained; }
+    /// The current process is ready by its announcements, which do not suffice until the recall.
+    bool needsProbe() const;
 
 private:
     bool isStale(const ServerAnnouncement &announcement) const;
@@ -81,7 +89,9 @@
 
     ServerAnnouncement m_current;
     ServerState m_state = ServerState::Absent;
-    bool m_isLost = false; ///< The current process was lost and has not shown itself since.
+    bool m_isLost = false;   ///< The current process was lost and has not shown itself since.
+    bool m_isProbed = false; ///< The current process has answered a probe as healthy.
+    bool m_isRecallAwaited = false; ///< Drains of an earlier process of the node are not known yet.
     absl::Time m_lastAnnouncement = absl::InfinitePast();
     absl::Time m_coldUntil = absl::InfinitePast();
     DrainRecords m_drained;
--- a/packages/decisions/src/traffic/ServerLifecycle.cpp
+++ b/packages/decisions/src/traffic/ServerLifecycle.cpp
@@ -25,6 +25,18 @@
     return updateState(false);
 }
 
+LifecycleChange ServerLifecycle::onDrainsRecalled()
+{
+    m_isRecallAwaited = false;
+    return updateState(false);
+}
+
+bool ServerLifecycle::needsProbe() const
+{
+    return m_isRecallAwaited && !m_isProbed && !m_isLost && !m_current.id.isEmpty()
+           && !m_current.isDraining && !hasDrained(m_current);
+}
+
 bool ServerLifecycle::hasDrained(const ServerAnnouncement &announcement) const
 {
     return m_drained.covers(announcement.id, announcement.startedUnixMs);
@@ -36,7 +48,7 @@
         return ServerState::Absent;
     if (m_current.isDraining || hasDrained(m_current))
         return ServerState::Draining;
-    return ServerState::Ready;
+    return needsProbe() ? ServerState::Absent : ServerState::Ready;
 }
 
 LifecycleChange ServerLifecycle::updateState(bool isOtherProcess)
@@ -94,6 +106,7 @@
     m_lastAnnouncement = now;
     m_coldUntil = now + announcement.coldRemaining;
     m_isLost = false;
+    m_isProbed = m_isProbed && !isOtherProcess;
     return updateState(isOtherProcess);
 }
 
@@ -107,6 +120,7 @@
     if (slots != 0)
         m_current.slots = slots;
     m_isLost = false;
+    m_isProbed = true;
     return updateState(isOtherProcess);
 }
 
@@ -127,6 +141,7 @@
 LifecycleChange ServerLifecycle::onLost()
 {
     m_isLost = true;
+    m_isProbed = false;
     return updateState(false);
 }
 
--- a/packages/node/include/godwitlift/node/StoreMessages.h
+++ b/packages/node/include/godwitlift/node/StoreMessages.h
@@ -5,7 +5,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
-#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +18,7 @@
 enum class StoreOutcome : std::uint8_t {
     Done,
     Refused,     ///< Not executed: the store is unavailable or limits the rate.
+    Conflict,    ///< Not executed: the row has another revision than expected.
     HistoryGone, ///< The requested changes are no longer retained.
     Unknown      ///< No answer: may have been executed, or be executed later.
 };
@@ -42,9 +43,12 @@
 
     Kind kind = Kind::List;
     std::string table;
-    std::string key;                 ///< For Put and Remove.
-    std::string value;               ///< For Put.
-    std::string firstKey;            ///< For List: first key to return.
+    std::string key;      ///< For Put and Remove.
+    std::string value;    ///< For Put.
+    std::string firstKey; ///< For List: first key to return.
+    std::string endKey;   ///< For List: returns only keys before this one; empty is no bound.
+    /// For Put: the row must have this revision; 0 if it must not exist. None is unconditional.
+    std::optional<StoreRevision> expectedRevision;
     StoreRevision afterRevision = 0; ///< For Watch: return changes after this revision.
     absl::Duration watchTimeout;     ///< For Watch: how long to wait for the first change.
 };
--- a/packages/node/src/gate/BackendServerGate.cpp
+++ b/packages/node/src/gate/BackendServerGate.cpp
@@ -411,6 +411,8 @@
 {
     const LifecycleChange change = m_lifecycle.onAnnouncement(announcement, steadyNow());
     applyLifecycleChange(change, "announcement");
+    if (m_lifecycle.needsProbe())
+        probe();
     return change;
 }
 
@@ -426,6 +428,11 @@
     applyLifecycleChange(m_lifecycle.markDrained(id, startedUnixMs), "drain-record");
 }
 
+void BackendServerGate::onDrainsRecalled()
+{
+    applyLifecycleChange(m_lifecycle.onDrainsRecalled(), "drains-recalled");
+}
+
 void BackendServerGate::onServerLost(std::string_view cause)
 {
     for (const auto &connection : m_idleConnections)
--- a/packages/node/src/gate/BackendServerGate.h
+++ b/packages/node/src/gate/BackendServerGate.h
@@ -57,7 +57,10 @@
     LifecycleChange onAnnouncement(const ServerAnnouncement &announcement);
     LifecycleChange onDeregistration(const BackendServerId &id);
     void markDrained(const BackendServerId &id, std::int64_t startedUnixMs);
-    /// Starts a health probe. Does nothing without a configuration.
+    /// See ServerLifecycle::awaitDrainRecall().
+    void awaitDrainRecall() { m_lifecycle.awaitDrainRecall(); }
+    void onDrainsRecalled();
+    /// Starts a health probe. Does nothing without a configuration or while a probe is in progress.
     void probe();
     /// Refuses queued and new attempts; running ones continue.
     void beginShutdown();
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -14,9 +14,8 @@
 
 namespace {
 
-/// Tables of the store: the hosts, and the latest drained backend server of each host.
+/// Table of the store with the hosts.
 constexpr const char *HostTable = "gl-hosts";
-constexpr const char *DrainTable = "gl-drains";
 /// Minimum interval between two reports of a changing gate: the larger of the constant and the
 /// interval per peer times the peers, so that reports use a bounded share of a slow link. A report
 /// takes about 130 bytes per peer with headers, so 4 ms per peer amount to 33 KB/s.
@@ -77,19 +76,6 @@
 
 } // namespace
 
-std::string_view name(DrainCopy copy)
-{
-    switch (copy) {
-    case DrainCopy::None:
-        return "none";
-    case DrainCopy::Store:
-        return "store";
-    case DrainCopy::Peers:
-        return "peers";
-    }
-    return "unknown";
-}
-
 PeerMesh::PeerMesh(asio::io_context &loop, LinkScheduler &linkScheduler, Options options,
                    StoreClient &store, BackendServerGate &gate, FinishTimeSelector &selector,
                    RateLimitedLog &log, NodeMetrics &metrics, RandomSource &random)
@@ -105,6 +91,11 @@
     , m_acceptor(loop.get_executor())
     , m_registrationTimer(loop.get_executor())
     , m_ownGateway(gate, 0)
+    , m_drainReplicator(loop, m_options.ownHost.host, store, gate, log, metrics, random,
+                        [this](const mesh::Frame &frame) {
+                            for (const auto &[key, session] : m_sessions)
+                                session->send(frame);
+                        })
     , m_registrationDelay(InitialRegistrationDelay)
 {
     m_selector.addHost(m_options.ownHost.host, m_options.ownHost.zone);
@@ -153,6 +144,7 @@
 
 void PeerMesh::start()
 {
+    m_drainReplicator.start();
     listHosts({});
 }
 
@@ -297,9 +289,7 @@
         broadcastGateReport();
     else
         reportGateChange(false);
-    completeDrains(DrainCopy::None, [&](const PendingDrain &drain) {
-        return now - drain.startTime > DrainReplicationTimeout;
-    });
+    m_drainReplicator.tick();
     updateWatchRole();
     requestNewerConfiguration();
 }
@@ -367,27 +357,10 @@
     mesh::Hello &hello = *frame.mutable_hello();
     *hello.mutable_self() = encodeHost(m_options.ownHost);
     hello.set_configuration_version(m_configurationUpdater->version().value());
-    const auto drained = m_peerDrains.find(host);
-    if (drained != m_peerDrains.end()) {
-        hello.set_drained_server(drained->second.server.value());
-        hello.set_drained_started_ms(drained->second.startedUpToUnixMs);
-    }
+    m_drainReplicator.fillHello(host, hello);
     return frame;
 }
 
-void PeerMesh::onHello(const HostId &peer, const mesh::Hello &hello)
-{
-    if (hello.drained_server().empty())
-        return;
-    m_log.write("drain-recalled",
-                LogLine("drain-recalled")
-                        .add("server", hello.drained_server())
-                        .add("started_ms", hello.drained_started_ms())
-                        .add("source", peer.value()),
-                steadyNow());
-    m_gate.markDrained(BackendServerId(hello.drained_server()), hello.drained_started_ms());
-}
-
 void PeerMesh::onLinkOpened(PeerLink &link)
 {
     m_log.write("link-opened", LogLine("link-opened").add("host", link.host().host.value()),
@@ -508,7 +481,7 @@
 {
     switch (frame.content_case()) {
     case mesh::Frame::kHello:
-        onHello(link.host().host, frame.hello());
+        m_drainReplicator.onHello(link.host().host, frame.hello());
         break;
     case mesh::Frame::kGateState:
         m_peerStates[link.host().host] = decodeNodeState(frame.gate_state());
@@ -522,13 +495,7 @@
             requestConfiguration(link, Version());
         break;
     case mesh::Frame::kDrainNotice:
-        m_peerDrains[link.host().host] = { BackendServerId(frame.drain_notice().server()),
-                                           frame.drain_notice().started_ms() };
-        {
-            mesh::Frame acknowledgement;
-            acknowledgement.mutable_drain_noted()->set_server(frame.drain_notice().server());
-            link.send(acknowledgement);
-        }
+        link.send(m_drainReplicator.onNotice(link.host().host, frame.drain_notice()));
         break;
     default:
         break;
@@ -541,8 +508,10 @@
     case mesh::Frame::kHello: {
         const PeerHost peer = decodeHost(frame.hello().self());
         session.setPeer(peer.host);
-        onHello(peer.host, frame.hello());
+        m_drainReplicator.onHello(peer.host, frame.hello());
         session.send(makeHello(peer.host));
+        for (const mesh::Frame &notice : m_drainReplicator.notices())
+            session.send(notice);
         sendGateReport(session);
         addHost(peer);
         const auto link = m_links.find(peer.host);
@@ -554,7 +523,7 @@
         sendConfigurationChanges(session, Version(frame.configuration_wanted().above_version()));
         break;
     case mesh::Frame::kDrainNoted:
-        onDrainAcknowledged(frame.drain_noted().server());
+        m_drainReplicator.onNoted(session.peer(), frame.drain_noted());
         break;
     default:
         break;
@@ -566,52 +535,6 @@
     m_sessions.erase(&session);
 }
 
-void PeerMesh::replicateDrain(const DrainRecord &record, std::function<void(DrainCopy)> done)
-{
-    m_pendingDrains.push_back({ record, std::move(done), 0, steadyNow() });
-    mesh::Frame frame;
-    frame.mutable_drain_notice()->set_server(record.server.value());
-    frame.mutable_drain_notice()->set_started_ms(record.startedUpToUnixMs);
-    for (const auto &[key, session] : m_sessions)
-        session->send(frame);
-    StoreRequest request;
-    request.kind = StoreRequest::Kind::Put;
-    request.table = DrainTable;
-    request.key = m_options.ownHost.host.value();
-    request.value = nlohmann::json{
-        { "server", record.server.value() }, { "started_ms", record.startedUpToUnixMs }
-    }.dump();
-    m_store.call(std::move(request), [this, server = record.server](const StoreAnswer &answer) {
-        if (answer.outcome == StoreOutcome::Done)
-            completeDrains(DrainCopy::Store, [&](const PendingDrain &drain) {
-                return drain.record.server == server;
-            });
-    });
-}
-
-void PeerMesh::onDrainAcknowledged(const std::string &server)
-{
-    for (PendingDrain &drain : m_pendingDrains)
-        drain.acknowledgements += drain.record.server.value() == server ? 1 : 0;
-    completeDrains(DrainCopy::Peers, [](const PendingDrain &drain) {
-        return drain.acknowledgements >= RequiredDrainAcknowledgements;
-    });
-}
-
-void PeerMesh::completeDrains(DrainCopy copy,
-                              const std::function<bool(const PendingDrain &)> &isComplete)
-{
-    std::vector<std::function<void(DrainCopy)>> callbacks;
-    std::erase_if(m_pendingDrains, [&](PendingDrain &drain) {
-        if (!isComplete(drain))
-            return false;
-        callbacks.push_back(std::move(drain.done));
-        return true;
-    });
-    for (const auto &done : callbacks)
-        done(copy);
-}
-
 void PeerMesh::beginShutdown(bool deletesHostRow)
 {
     m_isShuttingDown = true;
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -4,6 +4,7 @@
 
 #include "gate/BackendServerGate.h"
 #include "ingress/IngressService.h"
+#include "peers/DrainReplicator.h"
 #include "peers/PeerLink.h"
 #include "peers/PeerSession.h"
 #include "runtime/ConfigurationUpdater.h"
@@ -16,16 +17,6 @@
 
 namespace godwitlift {
 
-/// Where an acknowledged drain is recorded outside of this process.
-enum class DrainCopy : std::uint8_t {
-    None, ///< Neither the store nor enough peers confirmed it in time.
-    Store,
-    Peers
-};
-
-/// Stable lower-case name for logs.
-std::string_view name(DrainCopy copy);
-
 /// Keeps a link to every other node and accepts the links of the others as sessions.
 ///
 /// Nodes discover each other through rows in the store: a node writes its own row and then reads
@@ -56,9 +47,7 @@
     /// Reports the gate to all peers: at once if \p isUrgent, otherwise if its state has changed
     /// significantly and the minimum report interval has passed.
     void reportGateChange(bool isUrgent);
-    /// Writes \p record to the store and sends it to all peers. Calls \p done once the store or
-    /// enough peers have it, or after DrainReplicationTimeout.
-    void replicateDrain(const DrainRecord &record, std::function<void(DrainCopy)> done);
+    DrainReplicator &drainReplicator() { return m_drainReplicator; }
     /// Tells peers that this node shuts down. Deletes its row in the store if \p deletesHostRow,
     /// which is for a host that is not expected to return.
     void beginShutdown(bool deletesHostRow);
@@ -70,19 +59,6 @@
     std::size_t openLinkCount() const;
 
 private:
-    /// Longest time that the acknowledgement of a drain waits for the store and the peers.
-    static constexpr absl::Duration DrainReplicationTimeout = absl::Milliseconds(400);
-    /// Peers that must have acknowledged a drain record if the store has not.
-    static constexpr std::size_t RequiredDrainAcknowledgements = 2;
-
-    struct PendingDrain
-    {
-        DrainRecord record;
-        std::function<void(DrainCopy)> done;
-        std::size_t acknowledgements = 0;
-        absl::Time startTime;
-    };
-
     void acceptNext();
     void writeHostRow();
     void listHosts(const std::string &firstKey);
@@ -104,9 +80,6 @@
     /// Decides whether this node watches the store for configuration changes on behalf of its zone.
     void updateWatchRole();
     NodeState nodeState() const;
-    void onDrainAcknowledged(const std::string &server);
-    void completeDrains(DrainCopy copy,
-                        const std::function<bool(const PendingDrain &)> &isComplete);
 
     void onLinkOpened(PeerLink &link) override;
     void onAddressTaken(PeerLink &link, const PeerHost &owner) override;
@@ -118,8 +91,6 @@
     mesh::Frame makeHello(const HostId &host) override;
     void onSessionFrame(PeerSession &session, const mesh::Frame &frame) override;
     void onSessionClosed(PeerSession &session) override;
-    /// \p peer is the sender of \p hello.
-    void onHello(const HostId &peer, const mesh::Hello &hello);
 
     asio::io_context &m_loop;
     LinkScheduler &m_linkScheduler;
@@ -134,18 +105,15 @@
     TcpAcceptor m_acceptor;
     LoopTimer m_registrationTimer;
     LocalGateway m_ownGateway;
+    DrainReplicator m_drainReplicator;
     std::map<HostId, std::unique_ptr<PeerLink>> m_links;
     std::map<PeerSession *, std::shared_ptr<PeerSession>> m_sessions;
-    /// Of the other hosts; returned in the hello, so that a restarted node does not use a drained
-    /// process again.
-    std::map<HostId, DrainRecord> m_peerDrains;
     std::map<HostId, NodeState> m_peerStates; ///< Latest report on each link that is up.
     absl::Time m_lastConfigurationRequestTime = absl::InfinitePast();
     /// When the link will have carried the large changes that were sent last.
     absl::Time m_largeTransferEnd = absl::InfinitePast();
     /// Since when a peer has had a newer version of the configuration.
     absl::Time m_behindSince = absl::InfiniteFuture();
-    std::vector<PendingDrain> m_pendingDrains;
     GateReport m_lastReport;
     absl::Time m_lastBroadcastTime = absl::InfinitePast();
     std::uint32_t m_nextSourceNumber = 1; ///< 0 is this node's own ingress.
--- a/packages/node/src/runtime/AnnouncementService.cpp
+++ b/packages/node/src/runtime/AnnouncementService.cpp
@@ -8,12 +8,13 @@
 
 AnnouncementService::AnnouncementService(const PlatformProtocol &protocol, ServiceId service,
                                          Address backendServerAddress, BackendServerGate &gate,
-                                         PeerMesh &mesh, RateLimitedLog &log, NodeMetrics &metrics)
+                                         DrainReplicator &replicator, RateLimitedLog &log,
+                                         NodeMetrics &metrics)
     : m_protocol(protocol)
     , m_service(std::move(service))
     , m_backendServerAddress(std::move(backendServerAddress))
     , m_gate(gate)
-    , m_mesh(mesh)
+    , m_replicator(replicator)
     , m_log(log)
     , m_metrics(metrics)
 {}
@@ -33,21 +34,20 @@
 }
 
 void AnnouncementService::acknowledgeDrain(const std::shared_ptr<Exchange> &exchange,
-                                           const DrainRecord &record)
+                                           const BackendServerId &server)
 {
-    if (record == m_acknowledgedDrain) {
-        acknowledge(exchange);
-        return;
-    }
-    m_mesh.replicateDrain(record, [this, exchange, record](DrainCopy copy) {
-        m_acknowledgedDrain = record;
-        m_log.write("drain-acknowledged",
-                    LogLine("drain-acknowledged")
-                            .add("server", record.server.value())
-                            .add("started_ms", record.startedUpToUnixMs)
-                            .add("recorded", name(copy))
-                            .add("wait_ms", steadyNow() - exchange->arrivalTime()),
-                    steadyNow());
+    const DrainRecord record = *m_gate.lifecycle().drains().find(server);
+    m_replicator.replicate(record, [this, exchange, record](DrainCopy copy) {
+        if (record != m_acknowledgedDrain) {
+            m_acknowledgedDrain = record;
+            m_log.write("drain-acknowledged",
+                        LogLine("drain-acknowledged")
+                                .add("server", record.server.value())
+                                .add("started_ms", record.startedUpToUnixMs)
+                                .add("recorded", name(copy))
+                                .add("wait_ms", steadyNow() - exchange->arrivalTime()),
+                        steadyNow());
+        }
         acknowledge(exchange);
     });
 }
@@ -75,7 +75,7 @@
                                 .add("server", announcement.id.value())
                                 .add("current", m_gate.lifecycle().id().value()),
                         steadyNow());
-        acknowledgeDrain(exchange, *m_gate.lifecycle().drains().find(announcement.id));
+        acknowledgeDrain(exchange, announcement.id);
         return;
     }
     if (call->service != m_service || call->address != m_backendServerAddress) {
@@ -94,7 +94,7 @@
                             .add("draining", announcement.isDraining ? "yes" : "no"),
                     steadyNow());
     if (announcement.isDraining)
-        acknowledgeDrain(exchange, *m_gate.lifecycle().drains().find(announcement.id));
+        acknowledgeDrain(exchange, announcement.id);
     else
         acknowledge(exchange);
 }
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -133,7 +133,7 @@
                   m_loop, m_store, protocol, m_random, m_log, m_metrics,
                   [this](auto catalogue) { onConfigurationApplied(std::move(catalogue)); })
         , m_announcementService(protocol, m_settings.service, m_settings.backendServerAddress,
-                                m_gate, m_mesh, m_log, m_metrics)
+                                m_gate, m_mesh.drainReplicator(), m_log, m_metrics)
         , m_readinessService(protocol)
         , m_metricsService(m_metrics, [this] { refreshGauges(); })
         , m_clientServer(m_loop, m_linkScheduler, m_ingress)
--- a/packages/node/src/store/StoreClient.cpp
+++ b/packages/node/src/store/StoreClient.cpp
@@ -13,6 +13,8 @@
         return "done";
     case StoreOutcome::Refused:
         return "refused";
+    case StoreOutcome::Conflict:
+        return "conflict";
     case StoreOutcome::HistoryGone:
         return "history-gone";
     case StoreOutcome::Unknown:
--- a/tests/platform/WireDecodingTests.cpp
+++ b/tests/platform/WireDecodingTests.cpp
@@ -120,6 +120,40 @@
           == StoreOutcome::Done);
 }
 
+TEST_CASE("a conditional write names the revision that the row must have")
+{
+    const auto protocol = createPlatformProtocol();
+    StoreRequest request;
+    request.kind = StoreRequest::Kind::Put;
+    request.table = "t";
+    request.key = "a";
+    request.value = "one";
+    const auto conditionsOf = [&] {
+        const EncodedRequest encoded = protocol->encodeStoreRequest(request);
+        return nlohmann::json::parse(encoded.body)["expected_rev"];
+    };
+    CHECK(conditionsOf().empty());
+    request.expectedRevision = 0; // The row must not exist.
+    REQUIRE(conditionsOf().size() == 1);
+    CHECK(conditionsOf()[0]["key"] == "a");
+    CHECK(conditionsOf()[0]["ver"] == 0);
+    request.expectedRevision = 7;
+    CHECK(conditionsOf()[0]["ver"] == 7);
+    CHECK(protocol->decodeStoreAnswer(request, 412, "{}").outcome == StoreOutcome::Conflict);
+}
+
+TEST_CASE("a list of rows can be limited to a range of keys")
+{
+    const auto protocol = createPlatformProtocol();
+    StoreRequest request;
+    request.table = "t";
+    CHECK(protocol->encodeStoreRequest(request).target == "/godwitlift/rows-get?table=t&part=");
+    request.firstKey = "a";
+    request.endKey = "b";
+    CHECK(protocol->encodeStoreRequest(request).target
+          == "/godwitlift/rows-get?table=t&part=&from=a&target=b");
+}
+
 TEST_CASE("a health probe identifies the backend server that answers")
 {
     const auto protocol = createPlatformProtocol();
--- a/tests/process/drains.py
+++ b/tests/process/drains.py
@@ -18,7 +18,8 @@
 
 NODE = os.path.join(os.environ.get("GODWITLIFT_BUILD", os.path.join(ROOT, "build")),
                     "packages", "godwitliftd", "godwitliftd")
-FIRST_PORT = 33000 + 60 * (os.getpid() % 50)
+# Below the kernel's ephemeral range, whose ports outgoing connections may occupy.
+FIRST_PORT = 13000 + 60 * (os.getpid() % 100)
 STORE_PORT = FIRST_PORT
 # Longest wait for a state that a scenario builds on.
 READY_TIMEOUT = 10.0
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -112,15 +112,20 @@
         arguments = dict(part.partition("=")[::2] for part in query.split("&") if part)
         if path.endswith("rows-tx"):
             call = json.loads(body)
+            present = [self.rows.get((row["table"], row["key"])) for row in call["expected_rev"]]
+            if any((row["ver"] if row else 0) != expected["ver"]
+                   for row, expected in zip(present, call["expected_rev"])):
+                return 412, self.result(rows=[row for row in present if row])
             for row in call["writes"]:
                 self.put(row["table"], row["key"], base64.b64decode(row["value"]))
             for row in call["remove"]:
                 self.remove(row["table"], row["key"])
             return 200, self.result()
         if path.endswith("rows-get"):
-            start = arguments.get("from", "")
+            start, end = arguments.get("from", ""), arguments.get("target")
             rows = [row for (table, key), row in sorted(self.rows.items())
-                    if table == arguments["table"] and key >= start]
+                    if table == arguments["table"] and key >= start
+                    and (end is None or key < end)]
             return 200, self.result(rows=rows, has_more=False)
         return await self.watch(arguments)
 
--- a/tests/traffic/ServerLifecycleTests.cpp
+++ b/tests/traffic/ServerLifecycleTests.cpp
@@ -198,6 +198,39 @@
     CHECK(lifecycle.state() == ServerState::Draining);
 }
 
+// Guards against a restarted node that trusts an announcement which was sent before a drain that an
+// earlier process of the node has acknowledged.
+TEST_CASE("until the drains are recalled, an announcement alone does not make a server ready")
+{
+    ServerLifecycle lifecycle;
+    lifecycle.awaitDrainRecall();
+    lifecycle.onAnnouncement(announcement("a", 10, 4), Start);
+    CHECK(lifecycle.state() == ServerState::Absent);
+    CHECK(lifecycle.needsProbe());
+    SECTION("the recall does, if the process was not drained")
+    {
+        CHECK(lifecycle.onDrainsRecalled() == LifecycleChange::Started);
+        CHECK(lifecycle.state() == ServerState::Ready);
+    }
+    SECTION("the recall does not, if the process was drained")
+    {
+        lifecycle.markDrained(BackendServerId("a"), 10);
+        lifecycle.onDrainsRecalled();
+        CHECK(lifecycle.state() == ServerState::Draining);
+    }
+    SECTION("a healthy answer to a probe does")
+    {
+        CHECK(lifecycle.onHealthyProbe(BackendServerId("a"), 18) == LifecycleChange::Started);
+        CHECK(lifecycle.startedUnixMs() == 10);
+        lifecycle.onAnnouncement(announcement("a", 10, 5), Start);
+        CHECK(lifecycle.state() == ServerState::Ready);
+        // A drain that is recalled later still holds.
+        CHECK(lifecycle.markDrained(BackendServerId("a"), 10) == LifecycleChange::Draining);
+        lifecycle.onDrainsRecalled();
+        CHECK(lifecycle.state() == ServerState::Draining);
+    }
+}
+
 TEST_CASE("the first announcement adds the start time of a process known from its probe")
 {
     ServerLifecycle lifecycle;
