Acknowledge a drain only once a copy of its record exists

A drain was acknowledged after 400 ms even if neither the store nor a peer had confirmed the record. The acknowledgement binds the host, and a node that started there a moment later could not know of it. Not seen at callers: with store and peers in reach the record has a copy within milliseconds.

Against this stands that a server whose host is cut off from the store and from all but one peer leaves without an acknowledgement.

--- a/packages/node/src/runtime/AnnouncementService.cpp
+++ b/packages/node/src/runtime/AnnouncementService.cpp
@@ -38,6 +38,13 @@
 {
     const DrainRecord record = *m_gate.lifecycle().drains().find(server);
     m_replicator.replicate(record, [this, exchange, record](DrainCopy copy) {
+        if (copy == DrainCopy::None) {
+            m_log.write("drain-not-recorded",
+                        LogLine("drain-not-recorded").add("server", record.server.value()),
+                        steadyNow());
+            exchange->respond(503, reasonPhrase(503), {}, {});
+            return;
+        }
         if (record != m_acknowledgedDrain) {
             m_acknowledgedDrain = record;
             m_log.write("drain-acknowledged",
