Bound what is read of bytes without end that are no answer

A backend server in trouble may send bytes that are no answer, in a head or in a body, until its caller closes. Heads were bounded (64 KiB); six other forms were read until the deadline, and the caller waited until then for a verdict that was known before:

- the line of a chunk size, or a trailer, without end: kept in memory without bound, since the parser consumes them only as a whole; from clients too;
- interim answers, answers to other requests, and the body of a refusal or of an answer without the seal: discarded without end, while the request waited.

Chunk sizes and trailers are now limited to 16 KiB, interim answers to 16, skipped answers to 4 MiB (late answers of the largest downloads take half a megabyte), discarded bodies to 64 KiB. What ends an attempt keeps its verdict: a refusal stays not-run and becomes 503, all else may have run and becomes 502, and is repeated only if idempotent.

--- a/packages/node/src/gate/BackendConnection.cpp
+++ b/packages/node/src/gate/BackendConnection.cpp
@@ -13,6 +13,9 @@
 
 /// A process on the same host accepts a connection at once unless it is down.
 constexpr absl::Duration ConnectTimeout = absl::Milliseconds(500);
+/// Bytes of responses to other requests that are skipped to reach the matching one; more than the
+/// largest response that may arrive late.
+constexpr std::size_t SkippedBytesLimit = std::size_t(4) * 1024 * 1024;
 
 } // namespace
 
@@ -38,6 +41,7 @@
     m_hasSentBytes = false;
     m_isHeadReported = false;
     m_isStaleResponse = false;
+    m_skippedBytes = 0;
     m_isReadingEnabled = true;
     if (m_isConnected)
         writeRequest();
@@ -193,6 +197,7 @@
 {
     while (m_observer != nullptr && !m_isClosed) {
         std::string body;
+        const std::size_t inputBytes = m_input.size();
         const ParseState state = m_parser->feed(m_input, body);
         if (state != ParseState::NeedsMore && state != ParseState::Complete) {
             failExchange(Reason::AnswerMismatched);
@@ -206,8 +211,15 @@
                 m_observer->onResponseHead(m_parser->head());
             }
         }
-        if (!body.empty() && !m_isStaleResponse && m_observer != nullptr)
+        if (m_isStaleResponse) {
+            m_skippedBytes += inputBytes - m_input.size();
+            if (m_skippedBytes > SkippedBytesLimit) {
+                failExchange(Reason::AnswerMismatched);
+                return;
+            }
+        } else if (!body.empty() && m_observer != nullptr) {
             m_observer->onResponseBody(std::move(body));
+        }
         if (m_observer == nullptr || m_isClosed || state == ParseState::NeedsMore)
             return;
         if (!m_isStaleResponse) {
--- a/packages/node/src/gate/BackendConnection.h
+++ b/packages/node/src/gate/BackendConnection.h
@@ -83,6 +83,7 @@
     bool m_hasSentBytes = false;
     bool m_isHeadReported = false;
     bool m_isStaleResponse = false; ///< The response being read belongs to another request.
+    std::size_t m_skippedBytes = 0; ///< Of such responses, since the request was sent.
     absl::Time m_idleSince;
     absl::Duration m_keepAliveTimeout = absl::InfiniteDuration();
 };
--- a/packages/node/src/gate/BackendServerGate.cpp
+++ b/packages/node/src/gate/BackendServerGate.cpp
@@ -19,6 +19,8 @@
 constexpr absl::Duration KeepAliveMargin = absl::Seconds(1);
 /// Slots assumed until the backend server has announced itself.
 constexpr std::uint32_t InitialSlots = 1;
+/// Body bytes that are read of an answer that is not forwarded, to reuse its connection.
+constexpr std::size_t DiscardedBodyLimit = 65'536;
 /// Requests of one urgency that may wait at the gate. In practice their deadlines keep the queue
 /// far shorter.
 constexpr std::uint32_t QueueLimitPerUrgency = 512;
@@ -117,8 +119,14 @@
 
     void onResponseBody(std::string data) override
     {
-        if (m_refusedStatus != 0 || m_isUnsealed)
+        if (m_refusedStatus != 0 || m_isUnsealed) {
+            m_discardedBytes += data.size();
+            if (m_discardedBytes > DiscardedBodyLimit) {
+                m_connection->close();
+                onResponseComplete();
+            }
             return;
+        }
         m_unacknowledged += data.size();
         if (m_unacknowledged >= AnswerWindowBytes)
             m_connection->setReadingEnabled(false);
@@ -169,6 +177,7 @@
     absl::Time m_started;
     std::size_t m_unacknowledged = 0; ///< Body bytes forwarded without credit so far.
     unsigned m_refusedStatus = 0;     ///< Status of a refusal to run the request; or 0.
+    std::size_t m_discardedBytes = 0; ///< Of the body of an answer that is not forwarded.
     bool m_isServerError = false;     ///< The status is 5xx.
     bool m_isUnsealed = false;        ///< The answer lacks the backend server's seal.
 };
--- a/packages/node/src/http/MessageParser.cpp
+++ b/packages/node/src/http/MessageParser.cpp
@@ -15,6 +15,11 @@
 
 /// Largest response head that is accepted from a backend server, in bytes.
 constexpr std::size_t ResponseHeadLimit = 65'536;
+/// Interim responses before a response; a server that sends more never begins the response itself.
+constexpr unsigned InterimResponseLimit = 16;
+/// Largest line of a chunk size and largest trailer, in bytes. The parser consumes them only as a
+/// whole, so that they stay in the input until then.
+constexpr std::size_t ChunkMetadataLimit = 16'384;
 
 /// Body type whose content can be taken out while parsing goes on. Unlike Beast's string_body it
 /// does not reserve memory for the declared content length.
@@ -104,7 +109,9 @@
         if (input.size() == before)
             break;
     }
-    return parser.is_done() ? ParseState::Complete : ParseState::NeedsMore;
+    if (parser.is_done())
+        return ParseState::Complete;
+    return input.size() > ChunkMetadataLimit ? ParseState::Malformed : ParseState::NeedsMore;
 }
 
 } // namespace
@@ -231,6 +238,8 @@
         const auto &message = m_parser->parser.get();
         if (message.result_int() >= 200)
             break;
+        if (++m_interimCount > InterimResponseLimit)
+            return ParseState::Malformed;
         reset();
     }
     const auto &message = m_parser->parser.get();
--- a/packages/node/src/http/MessageParser.h
+++ b/packages/node/src/http/MessageParser.h
@@ -74,6 +74,7 @@
     std::unique_ptr<Parser> m_parser;
     bool m_isHeadMethod;
     bool m_hasHead = false;
+    unsigned m_interimCount = 0;
     ResponseHead m_head;
 };
 
--- /dev/null
+++ b/tests/node/EndlessBytesTests.cpp
@@ -0,0 +1,191 @@
+/// \file
+/// Bytes without end: from backend servers, as no answer or as one that never ends, and from
+/// clients.
+#include "RequestPath.h"
+
+using namespace godwitlift;
+
+namespace {
+
+/// Most bytes that the node may take from an answer before it closes the connection: a head of
+/// 64 KiB, what it discards, its flow-control window, and the socket buffers of the loopback
+/// device.
+constexpr std::size_t MaxTakenBytes = std::size_t(16) * 1024 * 1024;
+/// Longest time to a final answer; far less than the time that the client would wait.
+constexpr absl::Duration MaxAnswerTime = absl::Seconds(3);
+
+/// Writes a beginning and then the same bytes again and again until the peer closes the connection.
+class EndlessWriter final
+{
+public:
+    EndlessWriter(TestConnection &connection, const std::string &beginning,
+                  const std::string &repeated)
+        : m_connection(connection)
+        , m_next(beginning)
+    {
+        while (m_repeated.size() < PieceBytes)
+            m_repeated += repeated;
+        writeNext();
+    }
+
+    bool isClosed() const { return m_isClosed || m_connection.isClosedByPeer; }
+    std::size_t sentBytes() const { return m_sentBytes; }
+
+private:
+    static constexpr std::size_t PieceBytes = 16'384;
+
+    void writeNext()
+    {
+        if (m_next.empty())
+            m_next = m_repeated;
+        asio::async_write(m_connection.socket, asio::buffer(m_next),
+                          [this](const boost::system::error_code &error, std::size_t size) {
+                              m_sentBytes += size;
+                              m_isClosed = bool(error);
+                              m_next.clear();
+                              if (!error)
+                                  writeNext();
+                          });
+    }
+
+    TestConnection &m_connection;
+    std::string m_next;
+    std::string m_repeated;
+    std::size_t m_sentBytes = 0;
+    bool m_isClosed = false;
+};
+
+std::string makePayment(const std::string &id)
+{
+    return "POST /pay/now HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id
+           + "\r\nX-Deadline-Ms: 15000\r\nContent-Length: 3\r\n\r\nabc";
+}
+
+std::string makeAnswerHead(const std::string &fields)
+{
+    return "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
+}
+
+struct EndlessAnswer
+{
+    const char *description;
+    std::string beginning;
+    std::string repeated;
+    std::string status; ///< Of the client's final answer.
+};
+
+const std::string ChunkedAnswer =
+        makeAnswerHead("X-Attempt-Id: r1\r\nX-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n");
+
+const std::vector<EndlessAnswer> EndlessAnswers = {
+    { "bytes that are not HTTP", "", "\x16\x03\x01", "502" },
+    { "a header field", "HTTP/1.1 200 OK\r\nX-Filler: ", "x", "502" },
+    { "header fields", "HTTP/1.1 200 OK\r\n", "X-Filler: x\r\n", "502" },
+    { "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", "502" },
+    { "the line of a chunk size", ChunkedAnswer + "1;", "x", "502" },
+    { "a trailer field", ChunkedAnswer + "0\r\nX-Filler: ", "x", "502" },
+    { "a body without the seal", makeAnswerHead("X-Attempt-Id: r1\r\n"), "x", "502" },
+    { "one answer to another request",
+      makeAnswerHead("X-Attempt-Id: other\r\nX-Response-Seal: s\r\n"), "x", "502" },
+    { "answers to another request", "",
+      makeAnswerHead("X-Attempt-Id: other\r\nX-Response-Seal: s\r\nContent-Length: 1\r\n") + "x",
+      "502" },
+    { "a refusal to run the request",
+      "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: r1\r\nX-Not-Executed: 1\r\n\r\n", "x",
+      "503" },
+};
+
+} // namespace
+
+// Guards against memory that grows, and callers that wait, while a backend server sends bytes
+// without end that are no answer.
+TEST_CASE("bytes without end that are no answer end the attempt early with its true verdict")
+{
+    const EndlessAnswer answer = GENERATE(from_range(EndlessAnswers));
+    const bool isIdempotent = GENERATE(true, false);
+    INFO(answer.description << (isIdempotent ? ", idempotent" : ", at most once"));
+    RequestPath path;
+    path.configure();
+    TestConnection &client = path.connectClient();
+    client.write(isIdempotent ? makeGetRequest("/look/a", "r1") : makePayment("r1"));
+    TestConnection &backend = path.awaitBackendRequest("X-Attempt-Id: r1");
+    const absl::Time start = steadyNow();
+    const EndlessWriter writer(backend, answer.beginning, answer.repeated);
+    path.runUntil([&] { return contains(client.received, "\r\n\r\n") && writer.isClosed(); });
+    CHECK(steadyNow() - start < MaxAnswerTime);
+    CHECK(writer.sentBytes() < MaxTakenBytes);
+    // 503 promises that the request has not run; the others may have.
+    CHECK(contains(client.received, "HTTP/1.1 " + answer.status));
+    std::size_t executions = 0;
+    for (const TestConnection &connection : path.backendConnections)
+        executions += contains(connection.received, "X-Attempt-Id: r1") ? 1 : 0;
+    CHECK(executions == 1);
+}
+
+// Guards against buffering an answer without end for a client that does not read, and against an
+// end that makes it look complete.
+TEST_CASE("a sealed answer without end is held back by the client and cut at the deadline")
+{
+    const char *framing = GENERATE("", "Transfer-Encoding: chunked\r\n");
+    RequestPath path;
+    path.configure();
+    TestConnection client(path.loop);
+    client.socket.connect(loopback(path.clientPort));
+    client.write("GET /look/a HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: r1\r\n"
+                 "X-Deadline-Ms: 1500\r\n\r\n");
+    TestConnection &backend = path.awaitBackendRequest("X-Attempt-Id: r1");
+    const bool isChunked = *framing != '\0';
+    const EndlessWriter writer(
+            backend,
+            makeAnswerHead("X-Attempt-Id: r1\r\nX-Response-Seal: s\r\n" + std::string(framing)),
+            isChunked ? "4\r\nabcd\r\n" : "x");
+    path.runUntil([&] { return writer.isClosed(); });
+    CHECK(writer.sentBytes() < MaxTakenBytes);
+    client.startReading();
+    path.runUntil([&] { return client.isClosedByPeer; });
+    CHECK(contains(client.received, "HTTP/1.1 200"));
+    CHECK_FALSE(contains(client.received, "\r\n0\r\n\r\n"));
+}
+
+// Guards against a backend server that goes on sending after its caller has left.
+TEST_CASE("an answer without end stops when its client disconnects")
+{
+    RequestPath path;
+    path.configure();
+    TestConnection &client = path.connectClient();
+    client.write(makeGetRequest("/look/a", "r1"));
+    TestConnection &backend = path.awaitBackendRequest("X-Attempt-Id: r1");
+    const EndlessWriter writer(backend,
+                               makeAnswerHead("X-Attempt-Id: r1\r\nX-Response-Seal: s\r\n"), "x");
+    path.runUntil([&] { return contains(client.received, "xxxx"); });
+    client.closeWithReset();
+    path.runUntil([&] { return writer.isClosed(); });
+    CHECK(path.ingress.callCount() == 0);
+}
+
+// Guards against memory that grows while a client sends a request without end.
+TEST_CASE("a request without end is rejected with bounded memory")
+{
+    const std::string head =
+            "POST /a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n";
+    const auto [beginning, repeated, expected] =
+            GENERATE_COPY(table<std::string, std::string, ParseState>({
+                    { head + "X-Filler: ", "x", ParseState::HeadTooLarge },
+                    { head, "X-Filler: x\r\n", ParseState::HeadTooLarge },
+                    { head + "\r\n1;", "x", ParseState::Malformed },
+                    { head + "\r\n0\r\nX-Filler: ", "x", ParseState::Malformed },
+                    { head + "\r\n", "4\r\nabcd\r\n", ParseState::BodyTooLarge },
+            }));
+    constexpr std::size_t Limit = 16'384;
+    RequestParser parser(Limit, Limit);
+    std::string input = beginning;
+    std::size_t largestInput = 0;
+    ParseState state = ParseState::NeedsMore;
+    for (int i = 0; i < 100'000 && state == ParseState::NeedsMore; ++i) {
+        input += repeated;
+        state = parser.feed(input);
+        largestInput = std::max(largestInput, input.size());
+    }
+    CHECK(state == expected);
+    CHECK(largestInput < 2 * Limit);
+}
