Give up a health probe that is not answered in time or has no end

A probe had no timeout, and a second one is not sent while the first is in progress. A backend server that accepted the connection and never answered, or sent a body without end, thus prevented every later probe in the life of the node. So far one probe was sent at the first configuration, and announcements opened the gate without it; since a restarted node may depend on a probe while neither the store nor its peers can be reached, the fault would keep its gate closed.

A probe is given up after 1 s, or after 64 KiB of its body. The new test, with a server that is mute and with one that sends without end, failed before in both (the probe's connection stayed open) and passes now.

--- a/packages/node/src/gate/BackendServerGate.cpp
+++ b/packages/node/src/gate/BackendServerGate.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace godwitlift {
 
@@ -17,6 +18,9 @@
 constexpr absl::Duration DefaultIdleLimit = absl::Seconds(5);
 /// Idle connections are closed this long before the backend server's keep-alive timeout.
 constexpr absl::Duration KeepAliveMargin = absl::Seconds(1);
+/// Time after which an unanswered health probe is given up. A probe may wait for a slot like a
+/// request.
+constexpr absl::Duration ProbeTimeout = absl::Seconds(1);
 /// Slots assumed until the backend server has announced itself.
 constexpr std::uint32_t InitialSlots = 1;
 /// Body bytes that are read of an answer that is not forwarded, to reuse its connection.
@@ -188,13 +192,38 @@
 public:
     explicit Probe(BackendServerGate &owner)
         : m_owner(owner)
+        , m_timer(owner.m_loop.get_executor())
     {}
+
+    void start(const std::string &request)
+    {
+        m_connection =
+                std::make_shared<BackendConnection>(m_owner.m_loop, m_owner.m_options.address,
+                                                    m_owner.m_options.protocol.headerNames());
+        expireAfter(m_timer, ProbeTimeout);
+        m_timer.async_wait([this, weak = std::weak_ptr<Probe>(m_owner.m_probe)](
+                                   const boost::system::error_code &error) {
+            if (error || weak.lock() == nullptr)
+                return;
+            m_connection->close();
+            finish();
+        });
+        m_connection->sendRequest(request, {}, false, *this);
+    }
+    void close() { m_connection->close(); }
+
     void onResponseHead(const ResponseHead &head) override { m_head = head; }
-    void onResponseBody(std::string) override {}
+    void onResponseBody(std::string data) override
+    {
+        m_bodyBytes += data.size();
+        if (m_bodyBytes > DiscardedBodyLimit) {
+            m_connection->close();
+            finish();
+        }
+    }
     void onResponseComplete() override
     {
-        const auto self = m_owner.m_probe;
-        m_owner.m_probe.reset();
+        const auto self = finish();
         const auto answer = m_owner.m_options.protocol.decodeHealthProbe(
                 m_head.status, [this](std::string_view name) { return m_head.fields.find(name); });
         if (!answer || !answer->isHealthy || m_owner.m_lifecycle.state() == ServerState::Ready)
@@ -202,17 +231,21 @@
         m_owner.applyLifecycleChange(m_owner.m_lifecycle.onHealthyProbe(answer->id, answer->slots),
                                      "probe");
     }
-    void onExchangeFailed(Reason, bool) override
+    void onExchangeFailed(Reason, bool) override { finish(); }
+
+private:
+    /// Permits the next probe. The returned pointer keeps this object alive.
+    std::shared_ptr<Probe> finish()
     {
-        const auto self = m_owner.m_probe;
-        m_owner.m_probe.reset();
+        m_timer.cancel();
+        return std::exchange(m_owner.m_probe, nullptr);
     }
 
-    std::shared_ptr<BackendConnection> connection;
-
-private:
     BackendServerGate &m_owner;
+    std::shared_ptr<BackendConnection> m_connection;
+    LoopTimer m_timer;
     ResponseHead m_head;
+    std::size_t m_bodyBytes = 0;
 };
 
 BackendServerGate::BackendServerGate(asio::io_context &loop, Options options,
@@ -232,7 +265,7 @@
     for (const auto &connection : m_idleConnections)
         connection->close();
     if (m_probe != nullptr)
-        m_probe->connection->close();
+        m_probe->close();
 }
 
 void BackendServerGate::setCatalogue(std::shared_ptr<const RouteCatalogue> catalogue)
@@ -458,13 +491,11 @@
     if (service == nullptr)
         return;
     m_probe = std::make_shared<Probe>(*this);
-    m_probe->connection = std::make_shared<BackendConnection>(m_loop, m_options.address,
-                                                              m_options.protocol.headerNames());
     const std::string text =
             absl::StrCat("GET ", service->healthPath,
                          " HTTP/1.1\r\nHost: ", m_options.address.address().to_string(),
                          "\r\nConnection: close\r\n\r\n");
-    m_probe->connection->sendRequest(text, {}, false, *m_probe);
+    m_probe->start(text);
 }
 
 void BackendServerGate::beginShutdown()
--- a/tests/node/EndlessBytesTests.cpp
+++ b/tests/node/EndlessBytesTests.cpp
@@ -2,6 +2,9 @@
 /// Bytes without end: from backend servers, as no answer or as one that never ends, and from
 /// clients.
 #include "RequestPath.h"
+#include "store/StoreClient.h"
+
+#include <optional>
 
 using namespace godwitlift;
 
@@ -189,3 +192,25 @@
     CHECK(state == expected);
     CHECK(largestInput < 2 * Limit);
 }
+
+// Guards against a health probe that is never over, so that no later one is sent.
+TEST_CASE("a health probe without an end is given up and can be repeated")
+{
+    const bool isMute = GENERATE(true, false);
+    RequestPath path;
+    TrafficService service;
+    service.id = ServiceId("desk");
+    service.healthPath = "/health";
+    path.gate.setCatalogue(RouteCatalogue::create(Version(1), {}, { service }, {}));
+    TestConnection &first = path.awaitBackendRequest("GET /health");
+    std::optional<EndlessWriter> writer;
+    if (!isMute)
+        writer.emplace(first, "HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\n\r\n", "x");
+    path.runUntil([&] { return first.isClosedByPeer || (writer && writer->isClosed()); });
+    CHECK(path.gate.lifecycle().state() == ServerState::Absent);
+    first.received.clear();
+    path.gate.probe();
+    TestConnection &second = path.awaitBackendRequest("GET /health");
+    second.write("HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\nContent-Length: 0\r\n\r\n");
+    path.runUntil([&] { return path.gate.lifecycle().state() == ServerState::Ready; });
+}
