Bound the size of the store's answers

The body of an answer of the store was collected without a limit, until the timeout of 1 s. A store, or something in its place, that sends without end filled the node's memory: 356 MB in the new test, more than the 260 MB that a host of the small deployments grants the process.

An answer of more than 4 MiB ends the call as unknown and closes its connection; the store returns at most 1 MB of rows at a time.

--- a/packages/node/src/store/StoreClient.cpp
+++ b/packages/node/src/store/StoreClient.cpp
@@ -43,6 +43,8 @@
 /// Timeout of a call, in addition to the time that a watch waits at the store. A slow store takes
 /// tenths of a second to answer.
 constexpr absl::Duration AnswerTimeout = absl::Milliseconds(1000);
+/// Largest body of an answer, in bytes; the store returns at most 1 MB of rows at a time.
+constexpr std::size_t AnswerBodyLimit = std::size_t(4) * 1024 * 1024;
 /// A connection to the store that was idle for longer is not reused.
 constexpr absl::Duration MaxConnectionIdleTime = absl::Seconds(3);
 
@@ -83,7 +85,12 @@
     void close() { m_connection->close(); }
 
     void onResponseHead(const ResponseHead &head) override { m_status = head.status; }
-    void onResponseBody(std::string data) override { m_body += data; }
+    void onResponseBody(std::string data) override
+    {
+        m_body += data;
+        if (m_body.size() > AnswerBodyLimit)
+            complete(StoreAnswer());
+    }
     void onResponseComplete() override
     {
         if (!m_connection->isClosed())
--- a/tests/node/EndlessBytesTests.cpp
+++ b/tests/node/EndlessBytesTests.cpp
@@ -214,3 +214,29 @@
     second.write("HTTP/1.1 200 OK\r\nX-Instance-Id: i-1\r\nContent-Length: 0\r\n\r\n");
     path.runUntil([&] { return path.gate.lifecycle().state() == ServerState::Ready; });
 }
+
+// Guards against memory that grows while the store sends an answer without end.
+TEST_CASE("an answer of the store without end is given up as unknown")
+{
+    asio::io_context loop;
+    const auto protocol = createPlatformProtocol();
+    TcpAcceptor acceptor(loop.get_executor(), loopback(0));
+    StoreClient store(loop, acceptor.local_endpoint(), *protocol,
+                      [](const StoreRequest &, const StoreAnswer &) {});
+    std::optional<StoreOutcome> outcome;
+    store.call(StoreRequest(), [&](const StoreAnswer &answer) { outcome = answer.outcome; });
+    TestConnection connection(loop);
+    std::optional<EndlessWriter> writer;
+    acceptor.async_accept(connection.socket, [&](const boost::system::error_code &error) {
+        REQUIRE_FALSE(error);
+        writer.emplace(connection, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n",
+                       " ");
+    });
+    const absl::Time start = steadyNow();
+    while (steadyNow() - start < MaxAnswerTime && (!outcome || !writer || !writer->isClosed()))
+        loop.run_one_for(std::chrono::milliseconds(2));
+    CHECK(outcome == StoreOutcome::Unknown);
+    REQUIRE(writer);
+    CHECK(writer->isClosed());
+    CHECK(writer->sentBytes() < MaxTakenBytes);
+}
