Call the store less often for drain rows that nothing waits for

The delay between two tries may now grow to 5 s, unless a backend server waits for an acknowledgement or the gate for the recall; a new drain calls the store at once. The five scenarios of tests/process/drains.py pass.

--- a/packages/node/src/peers/DrainReplicator.cpp
+++ b/packages/node/src/peers/DrainReplicator.cpp
@@ -12,9 +12,11 @@
 
 /// Table of the store with the drain records of each host.
 constexpr const char *DrainTable = "gl-drains";
-/// The delay before the store is called again doubles with each failure up to the maximum.
+/// The delay before the store is called again doubles with each failure up to the maximum, which is
+/// longer while neither the gate nor the backend server waits for the answer.
 constexpr absl::Duration InitialStoreDelay = absl::Milliseconds(200);
-constexpr absl::Duration MaxStoreDelay = absl::Seconds(1);
+constexpr absl::Duration MaxUrgentStoreDelay = absl::Seconds(1);
+constexpr absl::Duration MaxStoreDelay = absl::Seconds(5);
 /// Smallest character of a key; appended to a key it gives the first possible key after it.
 constexpr char SmallestKeyCharacter = '!';
 
@@ -108,8 +110,8 @@
     m_pendingDrains.push_back({ record, std::move(done), steadyNow() });
     if (m_replication.copyOf(record) == DrainCopy::None) {
         m_broadcast(encodeNotice(record));
-        if (!m_isStoreCallPending)
-            writeRow();
+        if (!m_isStoreCallInProgress)
+            continueWithStore();
     }
     completePendingDrains();
 }
@@ -130,7 +132,7 @@
 
 void DrainReplicator::readRow()
 {
-    m_isStoreCallPending = true;
+    m_isStoreCallInProgress = true;
     StoreRequest request;
     request.kind = StoreRequest::Kind::List;
     request.table = DrainTable;
@@ -141,7 +143,7 @@
 
 void DrainReplicator::onRowRead(const StoreAnswer &answer)
 {
-    m_isStoreCallPending = false;
+    m_isStoreCallInProgress = false;
     if (answer.outcome != StoreOutcome::Done) {
         retryStore();
         return;
@@ -183,10 +185,10 @@
     if (m_replication.missingInStore(records).empty())
         return;
     if (!m_isRowCurrent) {
-        readRow();
+        readRow(); // Then writes.
         return;
     }
-    m_isStoreCallPending = true;
+    m_isStoreCallInProgress = true;
     StoreRequest request;
     request.kind = StoreRequest::Kind::Put;
     request.table = DrainTable;
@@ -201,7 +203,7 @@
 void DrainReplicator::onRowWritten(const StoreAnswer &answer,
                                    const std::vector<DrainRecord> &records)
 {
-    m_isStoreCallPending = false;
+    m_isStoreCallInProgress = false;
     // The answer does not tell the row's revision, and after a conflict or a lost answer the row is
     // unknown, so that the next write begins with a read.
     m_isRowCurrent = answer.outcome == StoreOutcome::Refused;
@@ -218,20 +220,25 @@
 
 void DrainReplicator::retryStore()
 {
-    m_isStoreCallPending = true;
+    const bool isUrgent = !m_pendingDrains.empty() || m_gate.lifecycle().needsProbe();
+    m_storeDelay = std::min(m_storeDelay, isUrgent ? MaxUrgentStoreDelay : MaxStoreDelay);
     expireAfter(m_storeTimer, m_storeDelay * (0.5 + 0.5 * m_random.uniformReal()));
-    m_storeDelay = std::min(m_storeDelay * 2, MaxStoreDelay);
+    m_storeDelay *= 2;
     m_storeTimer.async_wait([this](const boost::system::error_code &error) {
-        if (error)
-            return;
-        m_isStoreCallPending = false;
-        if (m_isRowCurrent)
-            writeRow();
-        else
-            readRow();
+        if (!error)
+            continueWithStore();
     });
 }
 
+void DrainReplicator::continueWithStore()
+{
+    m_storeTimer.cancel();
+    if (m_isRowCurrent)
+        writeRow();
+    else
+        readRow();
+}
+
 void DrainReplicator::recall(const DrainRecord &record, std::string_view source)
 {
     if (m_gate.lifecycle().drains().covers(record.server, record.startedUpToUnixMs))
--- a/packages/node/src/peers/DrainReplicator.h
+++ b/packages/node/src/peers/DrainReplicator.h
@@ -77,7 +77,9 @@
     void reportUnreadableRow();
     void writeRow();
     void onRowWritten(const StoreAnswer &answer, const std::vector<DrainRecord> &records);
+    /// Continues with the store after a delay.
     void retryStore();
+    void continueWithStore();
     void recall(const DrainRecord &record, std::string_view source);
     void updateRecall();
     void completePendingDrains();
@@ -94,9 +96,9 @@
     std::uint64_t m_ownProcess; ///< Random and not 0; tells this process from earlier ones.
     std::map<HostId, PeerDrains> m_peerDrains;
     std::vector<PendingDrain> m_pendingDrains;
-    StoreRevision m_rowRevision = 0;   ///< Of this host's row as last read; 0 if there is none.
-    bool m_isStoreCallPending = false; ///< A call is in progress or a retry is scheduled.
-    bool m_isRowCurrent = false;       ///< The row has been read and not been written since.
+    StoreRevision m_rowRevision = 0; ///< Of this host's row as last read; 0 if there is none.
+    bool m_isStoreCallInProgress = false;
+    bool m_isRowCurrent = false; ///< The row has been read and not been written since.
     bool m_isRecallReported = false;
     absl::Duration m_storeDelay;
 };
