Soak drains that overlap with restarts of the node and late announcements

A drain is now a series of draining announcements or a deregistration, the server goes on serving, announcements from before it arrive up to its end, and the node may be killed at any moment of it. The profile 'drains' plays mostly these, with kills, herds, pauses, cuts and store trouble. Details are drawn from a generator of their own, so that earlier seeds keep their faults. The checks and bounds are unchanged.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,8 +1,8 @@
 """Randomized soak test: runs real node processes, injects faults and checks guarantees meanwhile.
 
-  soak.py [--seed N] [--count N] [--seconds S] [--hosts N] [--break NAME]
+  soak.py [--seed N] [--count N] [--seconds S] [--hosts N] [--profile NAME] [--break NAME]
 
-Each seed determines one run. --break makes the stand-ins violate a guarantee on purpose, which
+Each seed determines one run, and --profile its kinds of faults. --break makes the stand-ins violate a guarantee on purpose, which
 proves that the soak test detects it. Exit code 0 if no run violated a guarantee (with --break: if a
 violation was detected)."""
 
@@ -33,6 +33,15 @@
 CONFIGURATION_BOUND = 2.5
 RECOVERY_TIME = 4.0
 STOP_TIMEOUT = 6.0
+# Faults by profile; repeated ones are more frequent.
+PROFILES = {
+    "all": ["kill", "kill", "pause", "term", "term", "hup", "reset", "silence", "cut", "delay",
+            "store", "store", "compact", "store-cut", "drain", "drain", "crash", "garble",
+            "publish", "publish", "herd"],
+    # Backend servers that leave while nodes restart, announcements are late and copies are lost.
+    "drains": ["drain"] * 6 + ["kill", "kill", "herd", "term", "pause", "silence", "cut", "store",
+                               "store", "store-cut", "crash"],
+}
 
 
 class Host:
@@ -97,9 +106,12 @@
 class SoakRun:
     """One run of the soak test: traffic, faults and checks."""
 
-    def __init__(self, seed, seconds, hosts, injected_violation):
+    def __init__(self, seed, seconds, hosts, injected_violation, profile="all"):
         self.seed = seed
         self.random = random.Random(seed)
+        # A generator of its own, so that the course of a drain does not change a seed's faults.
+        self.drain_random = random.Random(f"drain-{seed}")
+        self.profile = profile
         self.seconds = seconds
         self.injected_violation = injected_violation
         self.folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
@@ -239,7 +251,7 @@
 
     async def announce_periodically(self, host):
         while not self.is_stopping:
-            if host.backend.state != "gone":
+            if host.backend.state in ("ready", "draining"):
                 await host.backend.announce(host.announcement_port)
             await asyncio.sleep(0.3)
 
@@ -257,10 +269,7 @@
 
     async def inject_fault(self):
         host = self.random.choice(self.hosts)
-        name = self.random.choice([
-            "kill", "kill", "pause", "term", "term", "hup", "reset", "silence", "cut", "delay",
-            "store", "store", "compact", "store-cut", "drain", "drain", "crash", "garble",
-            "publish", "publish", "herd"])
+        name = self.random.choice(PROFILES[self.profile])
         duration = self.random.uniform(0.3, 3)
         self.record_event(f"{name} {host.name} {duration:.1f}")
         await getattr(self, "fault_" + name.replace("-", "_"))(host, duration)
@@ -333,18 +342,39 @@
         self.store.compact()
 
     async def fault_drain(self, host, duration):
-        """Drains the backend server, which keeps running for a while before a new one replaces it."""
-        if host.backend.state != "ready":
+        """Drains the backend server, which keeps running for a while before a new one replaces it.
+        Announcements from before the drain arrive late, and the node may restart at any moment."""
+        backend, draw = host.backend, self.drain_random
+        if backend.state != "ready":
             return
+        until = time.monotonic() + DRAIN_BOUND + duration
+        disturbance = asyncio.create_task(self.disturb_drain(host, backend.sequence, until))
         if self.injected_violation == "drain":
-            host.backend.drained_at = time.monotonic()
+            backend.drained_at = time.monotonic()
+        elif draw.random() < 0.5:
+            backend.state = "draining"
         else:
-            host.backend.state = "draining"
-        await asyncio.sleep(DRAIN_BOUND + duration)
+            await asyncio.sleep(draw.uniform(0, 0.5))
+            while not await backend.deregister(host.announcement_port) \
+                    and time.monotonic() < until:
+                await asyncio.sleep(0.1)
+        await asyncio.sleep(max(0, until - time.monotonic()))
+        await disturbance
         host.backend.state = "gone"
         await asyncio.sleep(0.3)
         host.backend.restart()
 
+    async def disturb_drain(self, host, last_sequence, until):
+        """Restarts the node and delivers announcements that were sent while the server was ready."""
+        draw = self.drain_random
+        while time.monotonic() < until:
+            if draw.random() < 0.2:
+                await self.fault_kill(host, 0.5)
+            await asyncio.sleep(draw.uniform(0, 0.6))
+            if host.backend.state != "ready" and last_sequence > 0:
+                await host.backend.announce(host.announcement_port, state="ready",
+                                            sequence=draw.randint(1, last_sequence))
+
     async def fault_crash(self, host, duration):
         if host.backend.state != "ready":
             return
@@ -422,7 +452,7 @@
 
 
 def run_seed(seed, arguments):
-    soak = SoakRun(seed, arguments.seconds, arguments.hosts, arguments.broken)
+    soak = SoakRun(seed, arguments.seconds, arguments.hosts, arguments.broken, arguments.profile)
     try:
         asyncio.run(soak.run())
     finally:
@@ -451,6 +481,7 @@
     parser.add_argument("--count", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--hosts", type=int, default=6)
+    parser.add_argument("--profile", choices=sorted(PROFILES), default="all")
     parser.add_argument("--break", dest="broken", default=None,
                         choices=["twice", "refused", "whole", "configuration", "drain", "shutdown"])
     arguments = parser.parse_args()
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -164,6 +164,7 @@
         self.state = "gone"
         self.drained_at = None  # Time at which the drain was acknowledged.
         self.truncation_probability = 0.0
+        self.answer_event = None  # If set, requests run until it happens instead of a short time.
         self.restart()
 
     def restart(self):
@@ -237,7 +238,10 @@
         request = fields["x-attempt-id"]
         self.executions.setdefault(request, []).append(
             (time.monotonic(), self.id, self.drained_at, target))
-        await asyncio.sleep(self.random.uniform(0.01, 0.08))
+        if self.answer_event is not None:
+            await self.answer_event.wait()
+        else:
+            await asyncio.sleep(self.random.uniform(0.01, 0.08))
         text = f"{method} {target} {len(body)} ".encode() + b"x" * (len(target) * 37 % 4000)
         if self.random.random() < self.truncation_probability:
             stream.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n" + text)
