Let requests use the stop timeout up to 0.25 s before its end

Cause: final answers were given in the last 0.5 s of the stop timeout of 6 s, at the next tick of 100 ms.

Test: request_that_ends_shortly_before_the_stop_timeout in tests/process/drains.py, whose server answers 5.6 s after SIGTERM, got 502 before and gets 200 now, three runs in a row.

--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -35,10 +35,11 @@
 /// Time after SIGTERM in which the node still accepts requests, until the platform has withdrawn it
 /// from the clients: the platform checks readiness once a second and acts on two failures in a row.
 constexpr absl::Duration ReadinessPropagationTime = absl::Milliseconds(2300);
-/// Part of the stop timeout that is reserved for answering the calls that are still open.
-constexpr absl::Duration FinalAnswerMargin = absl::Milliseconds(500);
-/// Part of the stop timeout that is reserved for exiting.
-constexpr absl::Duration ExitMargin = absl::Milliseconds(250);
+/// Part of the stop timeout that is reserved for answering the calls that are still open: a few
+/// round trips to a client and the exit. Until then, the calls may complete.
+constexpr absl::Duration FinalAnswerMargin = absl::Milliseconds(250);
+/// Part of the stop timeout that is reserved for exiting; longer than TickInterval.
+constexpr absl::Duration ExitMargin = absl::Milliseconds(150);
 
 /// Answers the platform's readiness checks.
 class ReadinessService final : public HttpHandler
@@ -143,6 +144,7 @@
         , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
         , m_tickTimer(m_loop.get_executor())
         , m_queueCheckTimer(m_loop.get_executor())
+        , m_finalAnswerTimer(m_loop.get_executor())
     {
         m_mesh.setConfigurationUpdater(m_configurationUpdater);
         m_selector.setOwnZone(m_settings.zone);
@@ -360,6 +362,11 @@
         m_readinessService.setReady(false);
         m_clientServer.disableKeepAlive();
         m_mesh.beginShutdown(m_gate.lifecycle().state() != ServerState::Ready);
+        expireAfter(m_finalAnswerTimer, m_settings.stopTimeout - FinalAnswerMargin);
+        m_finalAnswerTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error)
+                m_ingress.failOpenCalls();
+        });
     }
 
     /// Accepts requests for ReadinessPropagationTime, then waits for those in progress. Calls that
@@ -378,11 +385,8 @@
         const bool hasRequestsInProgress = m_ingress.callCount() > 0 || m_gate.attemptCount() > 0
                                            || m_clientServer.hasUnsentAnswers()
                                            || m_mesh.hasUnfinishedAnswers();
-        if (hasRequestsInProgress && elapsed < m_settings.stopTimeout - ExitMargin) {
-            if (elapsed >= m_settings.stopTimeout - FinalAnswerMargin)
-                m_ingress.failOpenCalls();
+        if (hasRequestsInProgress && elapsed < m_settings.stopTimeout - ExitMargin)
             return;
-        }
         m_loop.stop();
     }
 
@@ -411,6 +415,7 @@
     asio::signal_set m_signals;
     LoopTimer m_tickTimer;
     LoopTimer m_queueCheckTimer;
+    LoopTimer m_finalAnswerTimer; ///< Runs during a shutdown.
     bool m_isQueueCheckScheduled = false;
     absl::Time m_lastConnectionCheck = absl::InfinitePast();
     absl::Time m_lastSettingsCheck = absl::InfinitePast();
--- a/tests/process/drains.py
+++ b/tests/process/drains.py
@@ -1,4 +1,5 @@
-"""Tests with real nodes that an acknowledged drain holds, whatever arrives late and whatever restarts.
+"""Tests with real nodes that an acknowledged drain holds, whatever arrives late and whatever restarts,
+and that a stopping node lets requests complete.
 
   drains.py SCENARIO
 
@@ -100,7 +101,7 @@
         await self.store.start(STORE_PORT)
         route = {"entry_kind": "routes", "metadata": {"name": "look"},
                  "spec": {"host": "a.example", "prefix": "/look/", "kind": "safe",
-                          "timeout": "1500ms", "target_latency": "500ms", "priority": 0,
+                          "timeout": "20s", "target_latency": "500ms", "priority": 0,
                           "service": "desk", "max_attempts": 2}}
         service = {"entry_kind": "services", "metadata": {"name": "desk"},
                    "spec": {"health_path": "/health", "max_connections": 100}}
@@ -113,16 +114,16 @@
             await host.backend.start(host.backend_port)
             host.start()
 
-    async def send_request(self, host):
-        """Returns the status of the answer, or None without one."""
+    async def send_request(self, host, timeout=1):
+        """Returns the status of the answer, or None without one within a second after \p timeout."""
         self.last_request_number += 1
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", host.client_port)
             stream = HttpStream(reader, writer)
             await stream.send_message("GET /look/x HTTP/1.1",
-                                      {"Host": "a.example", "X-Deadline-Ms": "1000",
+                                      {"Host": "a.example", "X-Deadline-Ms": f"{timeout * 1000}",
                                        "X-Attempt-Id": f"r-{self.last_request_number}"})
-            answer = await asyncio.wait_for(stream.read_message(), 2)
+            answer = await asyncio.wait_for(stream.read_message(), timeout + 1)
             writer.close()
         except (OSError, asyncio.TimeoutError):
             return None
@@ -216,12 +217,33 @@
     await deployment.wait_until_served(host, drained)
 
 
+# Guards against giving up a request while its backend server may still answer before the node must
+# exit. The stop timeout is 6 s.
+async def request_that_ends_shortly_before_the_stop_timeout(deployment):
+    host = deployment.hosts[0]
+    await host.backend.announce(host.announcement_port)
+    await deployment.wait_until_served(host)
+    host.backend.answer_event = asyncio.Event()
+    deployment.executions.clear()
+    request = asyncio.create_task(deployment.send_request(host, timeout=15))
+
+    async def is_running():
+        return bool(deployment.executions)
+    await wait_until(is_running, "start of the request")
+    host.process.terminate()
+    await asyncio.sleep(5.6)
+    host.backend.answer_event.set()
+    status = await request
+    assert status == 200, f"answered with {status}, 5.6 s after SIGTERM"
+
+
 SCENARIOS = {function.__name__: (function, host_count) for function, host_count in (
     (late_announcement_of_a_deregistered_server_that_was_known_from_its_probe, 1),
     (node_restart_after_deregistration, 1),
     (node_restart_after_drain_without_store, 3),
     (acknowledgement_only_after_the_drain_is_recorded, 1),
-    (later_process_with_the_id_of_a_drained_one, 1))}
+    (later_process_with_the_id_of_a_drained_one, 1),
+    (request_that_ends_shortly_before_the_stop_timeout, 1))}
 
 
 async def run(scenario, host_count, folder):
