Keep a drain of a backend server that the stand-alone node does not know yet

POST /local/drain was answered with 'draining' and did nothing if the node did not know the backend server, such as after a restart, up to a second before the next heartbeat; the heartbeat then made the server ready. The same class of fault as on the mesh node: an acknowledged drain that is bound to no process. Found by looking for that class in the other data plane; not seen at callers.

LocalBackendServers keeps such a drain for the heartbeat timeout of 3 s and applies it to the first announcement. After a gap of that length an announcement is of another process, as before.

--- a/packages/decisions/include/godwitlift/membership/LocalBackendServers.h
+++ b/packages/decisions/include/godwitlift/membership/LocalBackendServers.h
@@ -34,8 +34,9 @@
 
     /// True if anything but the time of the heartbeat changed.
     bool announce(const Announcement &announcement, absl::Time now);
-    /// Marks one backend server as draining; true if it was not draining before.
-    bool drain(const BackendServerId &id);
+    /// Marks one backend server as draining; true if it was known and not draining before. If it is
+    /// not known, its first announcement within HeartbeatTimeout is taken as draining.
+    bool drain(const BackendServerId &id, absl::Time now);
     /// Marks all as draining, for the node's own shutdown; true if any was not draining before.
     bool drainAll();
     /// Removes the backend servers whose heartbeats stopped; true if there were any.
@@ -50,7 +51,11 @@
         absl::Time lastHeartbeat;
     };
 
+    static bool markDraining(BackendServer &server);
+
     std::map<BackendServerId, Entry> m_entries;
+    /// When backend servers that were not known were drained.
+    std::map<BackendServerId, absl::Time> m_earlyDrains;
 };
 
 } // namespace godwitlift
--- a/packages/decisions/src/membership/LocalBackendServers.cpp
+++ b/packages/decisions/src/membership/LocalBackendServers.cpp
@@ -24,29 +24,45 @@
         it->second = { server, now };
         return changed;
     }
+    const auto early = m_earlyDrains.find(announcement.id);
+    if (early != m_earlyDrains.end()) {
+        if (now - early->second < HeartbeatTimeout)
+            server.state = BackendServerState::Draining;
+        m_earlyDrains.erase(early);
+    }
     m_entries[announcement.id] = { server, now };
     return true;
 }
 
-bool LocalBackendServers::drain(const BackendServerId &id)
+bool LocalBackendServers::markDraining(BackendServer &server)
 {
-    const auto it = m_entries.find(id);
-    if (it == m_entries.end() || it->second.server.state == BackendServerState::Draining)
+    if (server.state == BackendServerState::Draining)
         return false;
-    it->second.server.state = BackendServerState::Draining;
+    server.state = BackendServerState::Draining;
     return true;
 }
 
+bool LocalBackendServers::drain(const BackendServerId &id, absl::Time now)
+{
+    const auto it = m_entries.find(id);
+    if (it != m_entries.end())
+        return markDraining(it->second.server);
+    m_earlyDrains[id] = now;
+    return false;
+}
+
 bool LocalBackendServers::drainAll()
 {
     bool changed = false;
-    for (const auto &entry : m_entries)
-        changed = drain(entry.first) || changed;
+    for (auto &[id, entry] : m_entries)
+        changed = markDraining(entry.server) || changed;
     return changed;
 }
 
 bool LocalBackendServers::expire(absl::Time now)
 {
+    std::erase_if(m_earlyDrains,
+                  [&](const auto &entry) { return now - entry.second >= HeartbeatTimeout; });
     return std::erase_if(m_entries,
                          [&](const auto &entry) {
                              return now - entry.second.lastHeartbeat >= HeartbeatTimeout;
--- a/packages/decisions/src/node/ControlPlaneRequests.cpp
+++ b/packages/decisions/src/node/ControlPlaneRequests.cpp
@@ -82,7 +82,7 @@
 ControlEffects ControlPlane::drainBackendServer(const BackendServerId &id, absl::Time now)
 {
     ControlEffects effects;
-    if (!m_presence.backendServers().drain(id))
+    if (!m_presence.backendServers().drain(id, now))
         return effects;
     effects.logs.push_back({ "backend_server_draining", { { "backend_server", id.value() } } });
     onOwnRecordChange(m_presence.reissueOwnRecord(now));
--- a/tests/unit/MembershipTests.cpp
+++ b/tests/unit/MembershipTests.cpp
@@ -112,7 +112,7 @@
                                false };
     CHECK(servers.announce(announcement, Now));
     CHECK_FALSE(servers.announce(announcement, Now + absl::Seconds(1)));
-    CHECK(servers.drain(BackendServerId("b")));
+    CHECK(servers.drain(BackendServerId("b"), Now + absl::Seconds(1)));
     CHECK_FALSE(servers.announce(announcement, Now + absl::Seconds(2)));
     CHECK(servers.list()[0].state == BackendServerState::Draining);
     CHECK_FALSE(servers.expire(Now + absl::Seconds(4)));
@@ -121,6 +121,29 @@
     CHECK(servers.list()[0].state == BackendServerState::Ready);
 }
 
+// Guards against a drain that is acknowledged and forgotten, because the node has just restarted
+// and does not know the backend server yet.
+TEST_CASE("A drain of a backend server that has not announced itself yet holds")
+{
+    LocalBackendServers servers;
+    const Announcement announcement{ BackendServerId("b"), ServiceId("s"), Address("127.0.0.1:1"),
+                                     20, false };
+    servers.drain(BackendServerId("b"), Now);
+    SECTION("its next heartbeats do not undo it")
+    {
+        servers.expire(Now + absl::Seconds(1));
+        CHECK(servers.announce(announcement, Now + absl::Seconds(1)));
+        CHECK(servers.list()[0].state == BackendServerState::Draining);
+        CHECK_FALSE(servers.announce(announcement, Now + absl::Seconds(2)));
+        CHECK(servers.list()[0].state == BackendServerState::Draining);
+    }
+    SECTION("after a gap of the heartbeats it is of an earlier process")
+    {
+        CHECK(servers.announce(announcement, Now + LocalBackendServers::HeartbeatTimeout));
+        CHECK(servers.list()[0].state == BackendServerState::Ready);
+    }
+}
+
 TEST_CASE("Backoff delays are spread over a doubling range up to the ceiling")
 {
     SeededRandom random(3);
