--- a/tests/mesh/ConvergenceTests.cpp
+++ b/tests/mesh/ConvergenceTests.cpp
@@ -321,6 +321,26 @@
     CHECK(mesh->violations.empty());
 }
 
+// Guards against a drain that is forgotten when the node alone restarts.
+TEST_CASE("A drain survives a restart of the node beside the backend server")
+{
+    auto mesh = makeConvergedMesh(15);
+    const HostId host("host-5");
+    mesh->announceBackendServer(host, "stock");
+    mesh->time.runFor(absl::Seconds(1));
+    mesh->announceBackendServer(host, "stock", true);
+    mesh->time.runFor(absl::Seconds(2));
+    mesh->kill(host);
+    mesh->time.runFor(absl::Seconds(1));
+    mesh->restart(host);
+    mesh->time.runFor(absl::Seconds(1));
+    // A delayed heartbeat of the drained process.
+    mesh->announceBackendServer(host, "stock", false);
+    mesh->time.runFor(absl::Seconds(1));
+    for (const auto &[other, node] : mesh->nodes())
+        CHECK(node.routingTable->targetCount() == 0);
+}
+
 TEST_CASE("Nodes of all zones remove a dead host from the membership")
 {
     auto mesh = makeConvergedMesh(16, 8);
