--- a/packages/decisions/include/godwitlift/traffic/DrainRecords.h
+++ b/packages/decisions/include/godwitlift/traffic/DrainRecords.h
@@ -30,8 +30,8 @@
     /// seconds of its end.
     static constexpr std::size_t Limit = 16;
 
-    /// True if the record covers processes that no earlier one did.
-    bool add(const DrainRecord &record);
+    /// Adds \p record or extends the one of its id.
+    void add(const DrainRecord &record);
     /// Whether the process \p server was drained. A start time of 0 is unknown and is covered by
     /// every record of the id.
     bool covers(const BackendServerId &server, std::int64_t startedUnixMs) const;
--- a/packages/decisions/src/traffic/DrainRecords.cpp
+++ b/packages/decisions/src/traffic/DrainRecords.cpp
@@ -6,22 +6,19 @@
 
 namespace godwitlift {
 
-bool DrainRecords::add(const DrainRecord &record)
+void DrainRecords::add(const DrainRecord &record)
 {
     DrainRecord merged = record;
-    bool coversMore = true;
     const auto it = std::find_if(m_records.begin(), m_records.end(), [&](const DrainRecord &known) {
         return known.server == record.server;
     });
     if (it != m_records.end()) {
-        coversMore = record.startedUpToUnixMs > it->startedUpToUnixMs;
         merged.startedUpToUnixMs = std::max(it->startedUpToUnixMs, record.startedUpToUnixMs);
         m_records.erase(it);
     }
     if (m_records.size() >= Limit)
         m_records.erase(m_records.begin());
     m_records.push_back(std::move(merged));
-    return coversMore;
 }
 
 const DrainRecord *DrainRecords::find(const BackendServerId &server) const
--- a/packages/node/src/peers/DrainReplicator.cpp
+++ b/packages/node/src/peers/DrainReplicator.cpp
@@ -204,8 +204,8 @@
                                    const std::vector<DrainRecord> &records)
 {
     m_isStoreCallInProgress = false;
-    // The answer does not tell the row's revision, and after a conflict or a lost answer the row is
-    // unknown, so that the next write begins with a read.
+    // The answer does not tell the row's new revision, and after a conflict or a lost answer the
+    // row is unknown, so that the next write begins with a read.
     m_isRowCurrent = answer.outcome == StoreOutcome::Refused;
     if (answer.outcome != StoreOutcome::Done) {
         retryStore();
