Answer calls that begin after the final answers of a stopping node

Since the final answers have a timer of their own, 0.25 s before the end of the stop timeout, a call that began after it on a connection that was still open was left without an answer when the process exited up to 0.2 s later; before that change the last tick had the same gap. Found by reading the change again; not seen in a run. Each tick from then on now fails the calls that are open, until the exit. request_that_ends_shortly_before_the_stop_timeout passes.

--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -382,6 +382,9 @@
             // Until now the backend server also accepted requests forwarded by other hosts.
             m_gate.beginShutdown();
         }
+        // Also answers calls that have begun since the timer for the final answers expired.
+        if (elapsed >= m_settings.stopTimeout - FinalAnswerMargin)
+            m_ingress.failOpenCalls();
         const bool hasRequestsInProgress = m_ingress.callCount() > 0 || m_gate.attemptCount() > 0
                                            || m_clientServer.hasUnsentAnswers()
                                            || m_mesh.hasUnfinishedAnswers();
