Log and count what backend servers state about limits and leaving

The logs said neither that a backend server names a request limit or its leaving in the header of its answers, nor how many requests the gate sends it, so that the hypotheses of the request limit incident could not be told apart. The headers are decoded in platform/; nothing acts on them yet.

--- a/packages/node/include/godwitlift/node/PlatformProtocol.h
+++ b/packages/node/include/godwitlift/node/PlatformProtocol.h
@@ -34,6 +34,15 @@
     bool isHealthy = false;
 };
 
+/// What a backend server states about itself in the header of an answer.
+struct ServerNotice
+{
+    /// Requests per second that it takes from all hosts together; none if it states no limit.
+    std::optional<double> requestLimit;
+    bool hasUnreadableLimit = false; ///< It states a limit that is no number of requests.
+    bool isLeaving = false;          ///< It gets no new requests, as after a draining announcement.
+};
+
 /// A call from the host's backend server to its node.
 struct ServerCall
 {
@@ -75,6 +84,8 @@
     virtual bool isReadinessCheck(std::string_view method, std::string_view target) const = 0;
     virtual std::optional<HealthProbeResult> decodeHealthProbe(unsigned status,
                                                                const FieldLookup &field) const = 0;
+    /// Decodes any answer of a backend server, also one that refuses or fails a request.
+    virtual ServerNotice decodeServerNotice(const FieldLookup &field) const = 0;
     virtual EncodedRequest encodeStoreRequest(const StoreRequest &request) const = 0;
     virtual StoreAnswer decodeStoreAnswer(const StoreRequest &request, unsigned status,
                                           std::string_view body) const = 0;
--- a/packages/node/src/gate/BackendServerGate.cpp
+++ b/packages/node/src/gate/BackendServerGate.cpp
@@ -102,6 +102,9 @@
     void onResponseHead(const ResponseHead &head) override
     {
         const PlatformHeaderNames &names = m_owner.m_options.protocol.headerNames();
+        // 421 comes from another backend server at the same address.
+        if (head.status != 421)
+            m_owner.onServerNotice(head, m_request.requestId);
         if (head.fields.find(names.notExecuted) || head.status == 421) {
             m_refusedStatus = head.status;
             return;
@@ -354,6 +357,7 @@
     if (it == m_attempts.end())
         return;
     const auto attempt = it->second;
+    ++m_startedRequestCount;
     attempt->start(acquireConnection(attempt->request()), encodeRequest(attempt->request()));
 }
 
@@ -483,6 +487,22 @@
     applyLifecycleChange(m_lifecycle.onLost(), cause);
 }
 
+void BackendServerGate::onServerNotice(const ResponseHead &head, const std::string &requestId)
+{
+    const ServerNotice notice = m_options.protocol.decodeServerNotice(
+            [&head](std::string_view name) { return head.fields.find(name); });
+    if (notice.isLeaving)
+        m_listener.onLeavingNotice(requestId);
+    if (notice.hasUnreadableLimit) {
+        m_listener.onRequestLimitUnreadable();
+        return;
+    }
+    if (notice.requestLimit == m_requestLimit)
+        return;
+    m_requestLimit = notice.requestLimit;
+    m_listener.onRequestLimitChanged();
+}
+
 void BackendServerGate::probe()
 {
     if (m_catalogue == nullptr || m_probe != nullptr)
--- a/packages/node/src/gate/BackendServerGate.h
+++ b/packages/node/src/gate/BackendServerGate.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace godwitlift {
@@ -29,6 +30,12 @@
     /// \p reason is why the gate refused an attempt.
     virtual void onAttemptRefused(const std::string &requestId, Reason reason) = 0;
     virtual void onServerStateChanged(std::string_view cause) = 0;
+    /// The backend server states another request limit than before, or none.
+    virtual void onRequestLimitChanged() = 0;
+    /// The backend server states a request limit that cannot be read.
+    virtual void onRequestLimitUnreadable() = 0;
+    /// An answer of the backend server says that it leaves.
+    virtual void onLeavingNotice(const std::string &requestId) = 0;
 };
 
 /// Owns slots, queue, connections and life cycle of the host's backend server.
@@ -66,6 +73,10 @@
     void beginShutdown();
 
     GateReport report() const;
+    /// Requests per second that the backend server takes, by its latest answer; none if unlimited.
+    std::optional<double> requestLimit() const { return m_requestLimit; }
+    /// Requests that were sent to the backend server since the node started.
+    std::uint64_t startedRequestCount() const { return m_startedRequestCount; }
     const ServerLifecycle &lifecycle() const { return m_lifecycle; }
     std::size_t attemptCount() const { return m_attempts.size(); }
     /// Refuses requests that would miss their deadline; closes idle connections. To be called every
@@ -83,6 +94,8 @@
     void onAttemptEnded(GateAttempt &attempt, RunOutcome outcome, bool isServerError = false);
     void applyLifecycleChange(LifecycleChange change, std::string_view cause);
     void onServerLost(std::string_view cause);
+    /// Evaluates what an answer to \p requestId says about the backend server.
+    void onServerNotice(const ResponseHead &head, const std::string &requestId);
     void updateSlots();
     std::shared_ptr<BackendConnection> acquireConnection(const AttemptRequest &request);
     void releaseConnection(const std::shared_ptr<BackendConnection> &connection);
@@ -101,6 +114,8 @@
     std::vector<std::shared_ptr<BackendConnection>> m_idleConnections;
     std::shared_ptr<Probe> m_probe;
     bool m_isShuttingDown = false;
+    std::optional<double> m_requestLimit;
+    std::uint64_t m_startedRequestCount = 0;
 };
 
 /// Passes the attempts of one source, such as the ingress or a peer's session, to the gate of the
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -15,6 +15,7 @@
 
 #include <fstream>
 #include <iterator>
+#include <limits>
 #include <random>
 #include <unistd.h>
 
@@ -250,6 +251,37 @@
                     steadyNow());
     }
 
+    void onRequestLimitChanged() override
+    {
+        LogLine line("request-limit");
+        line.add("server", m_gate.lifecycle().id().value());
+        if (const auto limit = m_gate.requestLimit())
+            line.add("per_second", *limit);
+        else
+            line.add("per_second", "none");
+        line.add("sent", m_gate.startedRequestCount());
+        m_log.write("request-limit", line, steadyNow());
+    }
+
+    void onRequestLimitUnreadable() override
+    {
+        m_metrics.recordUndecodable("request-limit");
+        m_log.write(
+                "request-limit-unreadable",
+                LogLine("request-limit-unreadable").add("server", m_gate.lifecycle().id().value()),
+                steadyNow());
+    }
+
+    void onLeavingNotice(const std::string &requestId) override
+    {
+        m_log.write("leaving-notice",
+                    LogLine("leaving-notice")
+                            .add("server", m_gate.lifecycle().id().value())
+                            .add("state", name(m_gate.lifecycle().state()))
+                            .add("request", requestId),
+                    steadyNow());
+    }
+
     void refreshGauges()
     {
         m_metrics.setGauge("configuration_version",
@@ -259,6 +291,10 @@
         m_metrics.setGauge("client_connections",
                            static_cast<double>(m_clientServer.connectionCount()));
         m_metrics.setGauge("open_calls", static_cast<double>(m_ingress.callCount()));
+        m_metrics.setGauge("request_limit",
+                           m_gate.requestLimit().value_or(std::numeric_limits<double>::infinity()));
+        m_metrics.setGauge("requests_sent_to_server",
+                           static_cast<double>(m_gate.startedRequestCount()));
         m_metrics.setGauge("log_lines_dropped", static_cast<double>(m_log.droppedLineCount()));
     }
 
--- a/tests/node/RequestPath.h
+++ b/tests/node/RequestPath.h
@@ -151,6 +151,8 @@
     std::uint16_t clientPort = 0;
     std::list<TestConnection> backendConnections;
     std::vector<Reason> refusals;
+    int unreadableLimits = 0;
+    int leavingNotices = 0;
 
 private:
     void accept()
@@ -173,6 +175,9 @@
         refusals.push_back(reason);
     }
     void onServerStateChanged(std::string_view) override {}
+    void onRequestLimitChanged() override {}
+    void onRequestLimitUnreadable() override { ++unreadableLimits; }
+    void onLeavingNotice(const std::string &) override { ++leavingNotices; }
     AttemptGateway *gatewayTo(const HostId &) override { return &gateway; }
     std::size_t nodeCount() const override { return 1; }
 
--- a/tests/platform/WireDecodingTests.cpp
+++ b/tests/platform/WireDecodingTests.cpp
@@ -172,3 +172,28 @@
     const auto none = [](std::string_view) { return std::optional<std::string_view>(); };
     CHECK_FALSE(protocol->decodeHealthProbe(200, none).has_value());
 }
+
+TEST_CASE("an answer states the request limit and the departure of its backend server")
+{
+    const auto protocol = createPlatformProtocol();
+    const auto noticeOf = [&](const char *limit, const char *leaving) {
+        return protocol->decodeServerNotice(
+                [&](std::string_view name) -> std::optional<std::string_view> {
+                    if (name == "Server-Limit" && limit != nullptr)
+                        return limit;
+                    if (name == "Server-Leaving" && leaving != nullptr)
+                        return leaving;
+                    return std::nullopt;
+                });
+    };
+    CHECK_FALSE(noticeOf(nullptr, nullptr).requestLimit.has_value());
+    CHECK_FALSE(noticeOf(nullptr, nullptr).isLeaving);
+    CHECK(noticeOf("21.2", nullptr).requestLimit == 21.2);
+    CHECK(noticeOf("0", nullptr).requestLimit == 0.0);
+    CHECK(noticeOf(nullptr, "1").isLeaving);
+    for (const char *text : { "", "fast", "-1", "inf", "nan", "1e999", "12 13" }) {
+        CAPTURE(text);
+        CHECK(noticeOf(text, nullptr).hasUnreadableLimit);
+        CHECK_FALSE(noticeOf(text, nullptr).requestLimit.has_value());
+    }
+}
