Keep the request limit that a backend server names at its gate

Cause: the gate admits by slots. A limit of requests a second is no limit of requests at once: a server with 18 slots that answers in 0.1 s takes 180 a second through them. Nothing read the header that names the limit.

The gate beside the server is the one place that every request to it passes, whatever host it began at, so the limit is a token bucket there: the stated rate, one second's worth of tokens, first token at once. Urgent requests go first within it; what has no room in time is refused at once as not run, with the time until there is room. An answer without the header ends the limit; so does another process. The bucket survives a limit that flips.

--- a/packages/decisions/include/godwitlift/base/Verdict.h
+++ b/packages/decisions/include/godwitlift/base/Verdict.h
@@ -47,10 +47,11 @@
     TooLarge,            ///< The request exceeds a size limit.
     Overloaded,  ///< The ingress has reached its limit of open requests or of recorded keys.
     ServerError, ///< The backend server answered with an error.
-    NoRequestId  ///< The request has no request id.
+    NoRequestId, ///< The request has no request id.
+    RequestLimit ///< The request limit that the backend server states leaves no room in time.
 };
 
-inline constexpr std::size_t ReasonCount = static_cast<std::size_t>(Reason::NoRequestId) + 1;
+inline constexpr std::size_t ReasonCount = static_cast<std::size_t>(Reason::RequestLimit) + 1;
 
 /// Stable lower-case name used in headers, logs and metrics.
 std::string_view name(Verdict verdict);
--- a/packages/decisions/include/godwitlift/serving/Gate.h
+++ b/packages/decisions/include/godwitlift/serving/Gate.h
@@ -1,11 +1,12 @@
 /// \file
-/// Admission control for one backend server: concurrency slots, a queue for each rank, and early
-/// refusal of requests that cannot meet their deadline.
+/// Admission control for one backend server: concurrency slots, the server's request limit, a queue
+/// for each rank, and early refusal of requests that cannot meet their deadline.
 #pragma once
 
 #include "godwitlift/base/Verdict.h"
 #include "godwitlift/configuration/Configuration.h"
 #include "godwitlift/serving/FairQueue.h"
+#include "godwitlift/serving/RequestRateLimit.h"
 #include "godwitlift/serving/SlotLimit.h"
 
 #include <absl/time/time.h>
@@ -74,8 +75,8 @@
 /// Admission control for one backend server. Not thread-safe.
 ///
 /// Invariants: when a request starts, the number of running requests does not exceed the slot
-/// limit; every request that is not cancelled is started or refused exactly once; a refused request
-/// never starts.
+/// limit, and the request limit has a token for it; every request that is not cancelled is started
+/// or refused exactly once; a refused request never starts.
 class Gate final
 {
 public:
@@ -95,12 +96,19 @@
     GateActions drain(absl::Time now);
     /// Admits requests again after a new process has replaced the drained one.
     void reopen() { m_draining = false; }
+    /// The backend server takes only so many requests per second; none lifts the limit.
+    GateActions setRequestLimit(std::optional<double> requestsPerSecond, absl::Time now);
+    /// The backend server has been replaced by one that has stated no request limit yet.
+    void resetRequestLimit() { m_rateLimit.reset(); }
+    /// Counts a request to the backend server that did not pass the gate, such as a health probe.
+    void onExternalRequest(absl::Time now) { m_rateLimit.onStarted(now); }
     /// Refuses queued requests that can no longer meet their deadline and starts others as slots
     /// become free. With OnTimeFirst, requests that were on time on arrival are refused when they
     /// can no longer meet their objective. Must be called about every 10 ms.
     GateActions tick(absl::Time now);
 
     GateLoad load(absl::Time now) const;
+    const RequestRateLimit &rateLimit() const { return m_rateLimit; }
     bool isDraining() const { return m_draining; }
     std::uint32_t inUse() const { return m_inUse; }
 
@@ -135,8 +143,11 @@
     std::uint32_t ceilingSlots(const PriorityLevel &level, std::uint32_t limit) const;
     /// Slots that \p level leaves free for more urgent levels.
     std::uint32_t headroom(std::size_t level, std::uint32_t limit) const;
-    bool mayStart(std::size_t level, std::uint32_t limit) const;
-    std::optional<std::size_t> nextLevel(std::uint32_t limit) const;
+    bool mayStart(std::size_t level, std::uint32_t limit, absl::Time now) const;
+    std::optional<std::size_t> nextLevel(std::uint32_t limit, absl::Time now) const;
+    /// Time until the request limit has room for a request behind the queues of \p level and of all
+    /// more urgent levels.
+    absl::Duration waitForRequestLimit(std::size_t level, absl::Time now) const;
     void start(std::size_t level, AttemptId attempt, absl::Time now, GateActions &actions);
     void startQueued(absl::Time now, GateActions &actions);
     /// Expected wait behind the queue of \p level alone, given the slots that more urgent levels
@@ -147,6 +158,7 @@
     void recordPeakDemand(absl::Time now);
 
     SlotLimit m_slotLimit;
+    RequestRateLimit m_rateLimit;
     QueueDiscipline m_discipline;
     /// Most urgent first; never empty. With OnTimeFirst, the on-time levels of all ranks come
     /// before the late levels.
--- a/packages/decisions/include/godwitlift/traffic/ServerLifecycle.h
+++ b/packages/decisions/include/godwitlift/traffic/ServerLifecycle.h
@@ -72,6 +72,9 @@
 
     ServerState state() const { return m_state; }
     const BackendServerId &id() const { return m_current.id; }
+    /// Increases with each process that becomes the current one, so that a caller can tell whether
+    /// an answer is from the current process.
+    std::uint64_t processNumber() const { return m_processNumber; }
     std::uint32_t slots() const { return m_current.slots; }
     bool isCold(absl::Time now) const { return now < m_coldUntil; }
     std::int64_t startedUnixMs() const { return m_current.startedUnixMs; }
@@ -88,6 +91,7 @@
     LifecycleChange updateState(bool isOtherProcess);
 
     ServerAnnouncement m_current;
+    std::uint64_t m_processNumber = 0;
     ServerState m_state = ServerState::Absent;
     bool m_isLost = false;   ///< The current process was lost and has not shown itself since.
     bool m_isProbed = false; ///< The current process has answered a probe as healthy.
--- a/packages/decisions/src/base/Verdict.cpp
+++ b/packages/decisions/src/base/Verdict.cpp
@@ -39,6 +39,7 @@
     "overloaded",
     "server-error",
     "no-request-id",
+    "request-limit",
 };
 
 template<typename Enum, std::size_t Count>
--- a/packages/decisions/src/serving/Gate.cpp
+++ b/packages/decisions/src/serving/Gate.cpp
@@ -27,6 +27,12 @@
     return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::lround(share * limit)));
 }
 
+/// Why a request cannot start in time, given the waits for a slot and for the request limit.
+Reason refusalReason(absl::Duration slotWait, absl::Duration limitWait)
+{
+    return limitWait > slotWait ? Reason::RequestLimit : Reason::DeadlineUnmeetable;
+}
+
 } // namespace
 
 Gate::Gate(SlotLimit slotLimit, const std::map<RankId, Rank> &ranks, QueueDiscipline discipline)
@@ -121,9 +127,11 @@
     return reserved;
 }
 
-bool Gate::mayStart(std::size_t level, std::uint32_t limit) const
+bool Gate::mayStart(std::size_t level, std::uint32_t limit, absl::Time now) const
 {
     const PriorityLevel &candidate = m_levels[level];
+    if (!m_rateLimit.allowsStart(now))
+        return false;
     if (m_inUse >= limit || candidate.inUse >= ceilingSlots(candidate, limit))
         return false;
     if (candidate.inUse < floorSlots(candidate, limit))
@@ -131,17 +139,25 @@
     return m_inUse + headroom(level, limit) < limit;
 }
 
-std::optional<std::size_t> Gate::nextLevel(std::uint32_t limit) const
+absl::Duration Gate::waitForRequestLimit(std::size_t level, absl::Time now) const
 {
-    if (m_inUse >= limit)
+    std::size_t queued = 0;
+    for (std::size_t i = 0; i <= level; ++i)
+        queued += m_levels[i].queue.size();
+    return m_rateLimit.waitBehind(queued, now);
+}
+
+std::optional<std::size_t> Gate::nextLevel(std::uint32_t limit, absl::Time now) const
+{
+    if (m_inUse >= limit || !m_rateLimit.allowsStart(now))
         return std::nullopt;
     for (std::size_t i = 0; i < m_levels.size(); ++i) {
         if (!m_levels[i].queue.isEmpty() && m_levels[i].inUse < floorSlots(m_levels[i], limit)
-            && mayStart(i, limit))
+            && mayStart(i, limit, now))
             return i;
     }
     for (std::size_t i = 0; i < m_levels.size(); ++i) {
-        if (!m_levels[i].queue.isEmpty() && mayStart(i, limit))
+        if (!m_levels[i].queue.isEmpty() && mayStart(i, limit, now))
             return i;
     }
     return std::nullopt;
@@ -152,13 +168,14 @@
     ++m_levels[level].inUse;
     ++m_inUse;
     m_running[attempt] = { level, now };
+    m_rateLimit.onStarted(now);
     actions.starts.push_back(attempt);
 }
 
 void Gate::startQueued(absl::Time now, GateActions &actions)
 {
     const std::uint32_t limit = m_slotLimit.current(now);
-    while (const auto level = nextLevel(limit)) {
+    while (const auto level = nextLevel(limit, now)) {
         const auto request = m_levels[*level].queue.pop();
         start(*level, request->attempt, now, actions);
     }
@@ -211,14 +228,16 @@
                 { request.attempt, Reason::DeadlineUnmeetable, absl::ZeroDuration() });
         return actions;
     }
-    if (m_levels[level].queue.isEmpty() && mayStart(level, limit)) {
+    if (m_levels[level].queue.isEmpty() && mayStart(level, limit, now)) {
         start(level, request.attempt, now, actions);
         recordPeakDemand(now);
         return actions;
     }
-    const absl::Duration wait = expectedWaitInLevel(level, limit);
+    const absl::Duration slotWait = expectedWaitInLevel(level, limit);
+    const absl::Duration limitWait = waitForRequestLimit(level, now);
+    const absl::Duration wait = std::max(slotWait, limitWait);
     if (now + wait + expectedServiceTime(level) > request.deadline) {
-        actions.refusals.push_back({ request.attempt, Reason::DeadlineUnmeetable, wait });
+        actions.refusals.push_back({ request.attempt, refusalReason(slotWait, limitWait), wait });
         return actions;
     }
     // A FIFO queue does not distinguish callers.
@@ -264,9 +283,13 @@
     const absl::Time dueTime =
             isOnTime ? std::min(request.objective, request.deadline) : request.deadline;
     const std::uint32_t limit = m_slotLimit.current(now);
-    const bool mayStartNow = mayStart(level, limit) && m_levels[level].queue.isEmpty();
-    const absl::Duration wait =
-            mayStartNow ? absl::ZeroDuration() : expectedWaitAcrossLevels(level, limit);
+    const bool mayStartNow = mayStart(level, limit, now) && m_levels[level].queue.isEmpty();
+    const absl::Duration limitWait = waitForRequestLimit(level, now);
+    // A free slot leaves only the request limit to wait for.
+    const absl::Duration slotWait = mayStartNow || m_inUse < limit
+                                            ? absl::ZeroDuration()
+                                            : expectedWaitAcrossLevels(level, limit);
+    const absl::Duration wait = mayStartNow ? absl::ZeroDuration() : std::max(slotWait, limitWait);
     if (now + service > request.deadline) {
         actions.refusals.push_back(
                 { request.attempt, Reason::DeadlineUnmeetable, absl::ZeroDuration() });
@@ -276,7 +299,7 @@
     const absl::Time latestStart = isOnTime ? dueTime - service * ServiceTimeMargin
                                             : std::min(dueTime - service, now + service);
     if (!mayStartNow && now + wait > latestStart) {
-        actions.refusals.push_back({ request.attempt, Reason::DeadlineUnmeetable, wait });
+        actions.refusals.push_back({ request.attempt, refusalReason(slotWait, limitWait), wait });
         return actions;
     }
     if (mayStartNow) {
@@ -344,8 +367,9 @@
         const auto cannotMeetDeadline = [&](const QueuedRequest &request) {
             return now + service > request.deadline;
         };
+        const absl::Duration retryAfter = std::max(service, waitForRequestLimit(i, now));
         for (const QueuedRequest &request : m_levels[i].queue.removeIf(cannotMeetDeadline))
-            actions.refusals.push_back({ request.attempt, Reason::DeadlineExpired, service });
+            actions.refusals.push_back({ request.attempt, Reason::DeadlineExpired, retryAfter });
     }
 }
 
@@ -358,6 +382,12 @@
     return actions;
 }
 
+GateActions Gate::setRequestLimit(std::optional<double> requestsPerSecond, absl::Time now)
+{
+    m_rateLimit.setLimit(requestsPerSecond, now);
+    return tick(now);
+}
+
 GateActions Gate::drain(absl::Time)
 {
     GateActions actions;
--- a/packages/decisions/src/traffic/ServerLifecycle.cpp
+++ b/packages/decisions/src/traffic/ServerLifecycle.cpp
@@ -102,6 +102,7 @@
     const bool isOtherProcess = !isCurrentId
                                 || (m_current.startedUnixMs != 0
                                     && announcement.startedUnixMs != m_current.startedUnixMs);
+    m_processNumber += isOtherProcess ? 1 : 0;
     m_current = announcement;
     m_lastAnnouncement = now;
     m_coldUntil = now + announcement.coldRemaining;
@@ -114,6 +115,7 @@
 {
     const bool isOtherProcess = id != m_current.id;
     if (isOtherProcess) {
+        ++m_processNumber;
         m_current = ServerAnnouncement();
         m_current.id = id;
     }
--- a/packages/node/src/gate/BackendServerGate.cpp
+++ b/packages/node/src/gate/BackendServerGate.cpp
@@ -82,6 +82,7 @@
     {
         m_connection = std::move(connection);
         m_started = steadyNow();
+        m_processNumber = m_owner.m_lifecycle.processNumber();
         m_connection->sendRequest(std::move(text), m_request.requestId, m_request.isHeadMethod,
                                   *this);
     }
@@ -104,7 +105,7 @@
         const PlatformHeaderNames &names = m_owner.m_options.protocol.headerNames();
         // 421 comes from another backend server at the same address.
         if (head.status != 421)
-            m_owner.onServerNotice(head, m_request.requestId);
+            m_owner.onServerNotice(head, m_request.requestId, m_processNumber);
         if (head.fields.find(names.notExecuted) || head.status == 421) {
             m_refusedStatus = head.status;
             return;
@@ -182,11 +183,12 @@
     std::shared_ptr<BackendConnection> m_connection; ///< Null while the attempt is queued.
     absl::Time m_arrived = steadyNow();
     absl::Time m_started;
-    std::size_t m_unacknowledged = 0; ///< Body bytes forwarded without credit so far.
-    unsigned m_refusedStatus = 0;     ///< Status of a refusal to run the request; or 0.
-    std::size_t m_discardedBytes = 0; ///< Of the body of an answer that is not forwarded.
-    bool m_isServerError = false;     ///< The status is 5xx.
-    bool m_isUnsealed = false;        ///< The answer lacks the backend server's seal.
+    std::uint64_t m_processNumber = 0; ///< Of the process to which the request was sent.
+    std::size_t m_unacknowledged = 0;  ///< Body bytes forwarded without credit so far.
+    unsigned m_refusedStatus = 0;      ///< Status of a refusal to run the request; or 0.
+    std::size_t m_discardedBytes = 0;  ///< Of the body of an answer that is not forwarded.
+    bool m_isServerError = false;      ///< The status is 5xx.
+    bool m_isUnsealed = false;         ///< The answer lacks the backend server's seal.
 };
 
 /// One health probe of the backend server.
@@ -229,10 +231,14 @@
         const auto self = finish();
         const auto answer = m_owner.m_options.protocol.decodeHealthProbe(
                 m_head.status, [this](std::string_view name) { return m_head.fields.find(name); });
-        if (!answer || !answer->isHealthy || m_owner.m_lifecycle.state() == ServerState::Ready)
+        if (!answer)
             return;
-        m_owner.applyLifecycleChange(m_owner.m_lifecycle.onHealthyProbe(answer->id, answer->slots),
-                                     "probe");
+        ServerLifecycle &lifecycle = m_owner.m_lifecycle;
+        if (answer->isHealthy && lifecycle.state() != ServerState::Ready)
+            m_owner.applyLifecycleChange(lifecycle.onHealthyProbe(answer->id, answer->slots),
+                                         "probe");
+        if (answer->id == lifecycle.id())
+            m_owner.onServerNotice(m_head, {}, lifecycle.processNumber());
     }
     void onExchangeFailed(Reason, bool) override { finish(); }
 
@@ -438,6 +444,7 @@
 
 void BackendServerGate::applyLifecycleChange(LifecycleChange change, std::string_view cause)
 {
+    resetForNewProcess();
     if (change == LifecycleChange::None || change == LifecycleChange::Stale) {
         if (change == LifecycleChange::None)
             updateSlots();
@@ -487,19 +494,38 @@
     applyLifecycleChange(m_lifecycle.onLost(), cause);
 }
 
-void BackendServerGate::onServerNotice(const ResponseHead &head, const std::string &requestId)
+void BackendServerGate::onServerNotice(const ResponseHead &head, const std::string &requestId,
+                                       std::uint64_t processNumber)
 {
     const ServerNotice notice = m_options.protocol.decodeServerNotice(
             [&head](std::string_view name) { return head.fields.find(name); });
+    if (processNumber != m_lifecycle.processNumber())
+        return;
     if (notice.isLeaving)
         m_listener.onLeavingNotice(requestId);
     if (notice.hasUnreadableLimit) {
         m_listener.onRequestLimitUnreadable();
         return;
     }
-    if (notice.requestLimit == m_requestLimit)
+    // An answer without a seal, such as one with garbled fields, does not show that a limit ended.
+    const PlatformHeaderNames &names = m_options.protocol.headerNames();
+    const bool isComplete = head.fields.find(names.answerSeal).has_value()
+                            || head.fields.find(names.notExecuted).has_value();
+    if (notice.requestLimit == requestLimit() || (!notice.requestLimit && !isComplete))
+        return;
+    applyGateActions(m_gate.setRequestLimit(notice.requestLimit, steadyNow()));
+    m_listener.onRequestLimitChanged();
+    m_listener.onGateStateChanged(true);
+}
+
+void BackendServerGate::resetForNewProcess()
+{
+    if (m_gateProcessNumber == m_lifecycle.processNumber())
+        return;
+    m_gateProcessNumber = m_lifecycle.processNumber();
+    if (!requestLimit())
         return;
-    m_requestLimit = notice.requestLimit;
+    m_gate.resetRequestLimit();
     m_listener.onRequestLimitChanged();
 }
 
@@ -511,6 +537,7 @@
     if (service == nullptr)
         return;
     m_probe = std::make_shared<Probe>(*this);
+    m_gate.onExternalRequest(steadyNow());
     const std::string text =
             absl::StrCat("GET ", service->healthPath,
                          " HTTP/1.1\r\nHost: ", m_options.address.address().to_string(),
--- a/packages/node/src/gate/BackendServerGate.h
+++ b/packages/node/src/gate/BackendServerGate.h
@@ -40,7 +40,8 @@
 
 /// Owns slots, queue, connections and life cycle of the host's backend server.
 ///
-/// Invariant: requests in progress at the backend server never exceed its slots as announced.
+/// Invariants: requests in progress at the backend server never exceed its slots as announced;
+/// those sent to it never exceed the request limit that its latest answer states.
 class BackendServerGate final
 {
 public:
@@ -74,7 +75,7 @@
 
     GateReport report() const;
     /// Requests per second that the backend server takes, by its latest answer; none if unlimited.
-    std::optional<double> requestLimit() const { return m_requestLimit; }
+    std::optional<double> requestLimit() const { return m_gate.rateLimit().limit(); }
     /// Requests that were sent to the backend server since the node started.
     std::uint64_t startedRequestCount() const { return m_startedRequestCount; }
     const ServerLifecycle &lifecycle() const { return m_lifecycle; }
@@ -94,8 +95,12 @@
     void onAttemptEnded(GateAttempt &attempt, RunOutcome outcome, bool isServerError = false);
     void applyLifecycleChange(LifecycleChange change, std::string_view cause);
     void onServerLost(std::string_view cause);
-    /// Evaluates what an answer to \p requestId says about the backend server.
-    void onServerNotice(const ResponseHead &head, const std::string &requestId);
+    /// Evaluates what an answer to \p requestId says about the backend server. \p processNumber is
+    /// of the process to which the request was sent.
+    void onServerNotice(const ResponseHead &head, const std::string &requestId,
+                        std::uint64_t processNumber);
+    /// Forgets what the gate knows about an earlier process than the current one.
+    void resetForNewProcess();
     void updateSlots();
     std::shared_ptr<BackendConnection> acquireConnection(const AttemptRequest &request);
     void releaseConnection(const std::shared_ptr<BackendConnection> &connection);
@@ -114,7 +119,7 @@
     std::vector<std::shared_ptr<BackendConnection>> m_idleConnections;
     std::shared_ptr<Probe> m_probe;
     bool m_isShuttingDown = false;
-    std::optional<double> m_requestLimit;
+    std::uint64_t m_gateProcessNumber = 0; ///< Of the process whose request limit the gate keeps.
     std::uint64_t m_startedRequestCount = 0;
 };
 
