Choose hosts by what the request limits of their servers leave

Cause: ingresses knew slots and queues of a gate, not the rate that its server takes.

Gates now report limit and allowance (tokens minus waiting requests) with each report and each answer, and the selector adds the expected wait for a token to the finish time. Tokens that are added after a report are left out: all other ingresses count on them too.

--- a/packages/decisions/include/godwitlift/serving/RequestRateLimit.h
+++ b/packages/decisions/include/godwitlift/serving/RequestRateLimit.h
@@ -11,6 +11,16 @@
 
 namespace godwitlift {
 
+/// State of a request limit as gates report it to ingresses.
+struct RequestLimitReport
+{
+    double perSecond = 0; ///< As the backend server states it.
+    /// Requests that may start at once, minus those that wait; less than 1 if the next one waits.
+    double allowance = 0;
+
+    friend bool operator==(const RequestLimitReport &, const RequestLimitReport &) = default;
+};
+
 /// Decides when the next request may be sent to one backend server. Not thread-safe.
 ///
 /// A token bucket that fills at the stated rate and holds the requests of BurstTime. A limit that
@@ -47,10 +57,19 @@
     /// limit.
     absl::Duration waitBehind(std::size_t requestsAhead, absl::Time now) const;
 
+    /// None without a limit. \p queued requests wait at the gate.
+    std::optional<RequestLimitReport> report(std::size_t queued, absl::Time now) const;
+    /// Expected wait of a request if this node has sent \p sent others since \p report. The other
+    /// nodes are expected to use the tokens that have been added since.
+    static absl::Duration expectedWait(const RequestLimitReport &report, std::size_t sent);
+
     /// Rate at which a server with the limit \p requestsPerSecond is sent requests.
     static double usableRate(double requestsPerSecond);
 
 private:
+    /// Tokens that a full bucket holds.
+    static double burst(double requestsPerSecond);
+
     std::optional<double> m_limit;
     std::optional<TokenBucket> m_bucket; ///< Set from the first limit of the process on.
 };
--- a/packages/decisions/include/godwitlift/traffic/FinishTimeSelector.h
+++ b/packages/decisions/include/godwitlift/traffic/FinishTimeSelector.h
@@ -4,6 +4,7 @@
 
 #include "godwitlift/base/RandomSource.h"
 #include "godwitlift/base/StrongId.h"
+#include "godwitlift/serving/RequestRateLimit.h"
 #include "godwitlift/traffic/FailureShare.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -30,10 +31,21 @@
     std::uint32_t linkMbps = 0; ///< Bandwidth of the host's link; 0 if unknown.
     absl::Duration linkBacklog; ///< Wait of a large answer before its first piece is sent.
     double failureShare = 0;    ///< Of the backend server, over the attempts of all nodes.
+    /// Of the backend server, for requests from all nodes; none if it states no limit.
+    std::optional<RequestLimitReport> requestLimit;
 
     friend bool operator==(const GateReport &, const GateReport &) = default;
 };
 
+/// Load of a gate as it accompanies the end of each answer.
+struct GateLoadReport
+{
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    absl::Duration linkBacklog;                     ///< As in GateReport.
+    std::optional<RequestLimitReport> requestLimit; ///< As in GateReport.
+};
+
 /// How an attempt at a host ended.
 enum class AttemptOutcome : std::uint8_t {
     Succeeded, ///< A complete answer that is no server error.
@@ -54,7 +66,8 @@
 /// Service times are estimated from answers: each route has a mean over all servers, and each
 /// server a ratio to that mean. A server that fails, by attempts of this node or by the report of
 /// its gate, is avoided except for single probe requests, which all nodes together send at a fixed
-/// rate. If most servers of a service fail, none is avoided.
+/// rate. If most servers of a service fail, none is avoided. A server that states a request limit
+/// gets requests as far as its limit has room sooner than others have a free slot.
 class FinishTimeSelector final
 {
 public:
@@ -69,8 +82,7 @@
     void removeHost(const HostId &host);
     void onGateReport(const HostId &host, const GateReport &report, absl::Time now);
     /// Updates the load of a host between two reports.
-    void onLoadReport(const HostId &host, std::uint32_t running, std::uint32_t queued,
-                      absl::Duration linkBacklog);
+    void onLoadReport(const HostId &host, const GateLoadReport &report);
 
     /// The best host that is not in \p tried, or none if no other host of \p service accepts
     /// requests.
@@ -101,6 +113,7 @@
         bool isReachable = false;
         std::uint32_t ownInFlight = 0;
         std::int32_t inFlightSinceReport = 0; ///< Attempts of this node: sent minus ended.
+        std::size_t sentSinceReport = 0;      ///< Attempts of this node.
         double bytesSinceReport = 0;          ///< Expected answer bytes of these attempts.
         double serviceTimeRatio = 1;          ///< Service time relative to the mean of the route.
         FailureShare failures;                ///< Of attempts of this node.
--- a/packages/decisions/src/traffic/FinishTimeSelector.cpp
+++ b/packages/decisions/src/traffic/FinishTimeSelector.cpp
@@ -75,20 +75,23 @@
     delayFirstProbe(state, previousShare, now);
     state.isReachable = true;
     state.inFlightSinceReport = 0;
+    state.sentSinceReport = 0;
     state.bytesSinceReport = 0;
 }
 
-void FinishTimeSelector::onLoadReport(const HostId &host, std::uint32_t running,
-                                      std::uint32_t queued, absl::Duration linkBacklog)
+void FinishTimeSelector::onLoadReport(const HostId &host, const GateLoadReport &report)
 {
     const auto it = m_hosts.find(host);
     if (it == m_hosts.end())
         return;
-    it->second.report.running = running;
-    it->second.report.queued = queued;
-    it->second.report.linkBacklog = linkBacklog;
-    it->second.inFlightSinceReport = 0;
-    it->second.bytesSinceReport = 0;
+    Host &state = it->second;
+    state.report.running = report.running;
+    state.report.queued = report.queued;
+    state.report.linkBacklog = report.linkBacklog;
+    state.report.requestLimit = report.requestLimit;
+    state.inFlightSinceReport = 0;
+    state.sentSinceReport = 0;
+    state.bytesSinceReport = 0;
 }
 
 bool FinishTimeSelector::isCandidate(const Host &host, const ServiceId &service) const
@@ -111,7 +114,12 @@
     const double demand = estimatedDemand(host);
     const double utilization = std::min(demand / slots, 1.0);
     const double wait = demand >= slots ? (demand + 1 - slots) / slots : 0;
-    double seconds = serviceSeconds * (1 + 0.5 * utilization * utilization + wait);
+    double waitSeconds = serviceSeconds * wait;
+    if (host.report.requestLimit)
+        waitSeconds =
+                std::max(waitSeconds, absl::ToDoubleSeconds(RequestRateLimit::expectedWait(
+                                              *host.report.requestLimit, host.sentSinceReport)));
+    double seconds = serviceSeconds * (1 + 0.5 * utilization * utilization) + waitSeconds;
     if (host.zone != m_ownZone)
         seconds += CrossZoneSeconds + route.meanBytes * CrossZoneSecondsPerByte;
     return seconds + linkTransferSeconds(host, route);
@@ -228,6 +236,7 @@
         return;
     ++it->second.ownInFlight;
     ++it->second.inFlightSinceReport;
+    ++it->second.sentSinceReport;
     const auto statistics = m_routes.find(route);
     if (statistics != m_routes.end())
         it->second.bytesSinceReport += statistics->second.meanBytes;
--- a/packages/node/src/gate/BackendServerGate.cpp
+++ b/packages/node/src/gate/BackendServerGate.cpp
@@ -296,6 +296,7 @@
     report.running = load.inUse;
     report.queued = load.queued;
     report.failureShare = m_failures.value();
+    report.requestLimit = m_gate.rateLimit().report(load.queued, steadyNow());
     return report;
 }
 
--- a/packages/node/src/peers/PeerLink.cpp
+++ b/packages/node/src/peers/PeerLink.cpp
@@ -218,8 +218,7 @@
             observer->onAnswerComplete(AttemptId(frame.answer_end().attempt()),
                                        { absl::Microseconds(frame.answer_end().wait_us()),
                                          absl::Microseconds(frame.answer_end().service_us()) });
-        m_observer.onLoadReport(*this, frame.answer_end().running(), frame.answer_end().queued(),
-                                absl::Milliseconds(frame.answer_end().link_backlog_ms()));
+        m_observer.onLoadReport(*this, decodeLoadReport(frame.answer_end()));
         break;
     }
     default:
--- a/packages/node/src/peers/PeerLink.h
+++ b/packages/node/src/peers/PeerLink.h
@@ -26,8 +26,7 @@
     virtual void onLinkLost(PeerLink &link, std::string_view cause) = 0;
     virtual void onGateReport(PeerLink &link, const GateReport &report) = 0;
     /// Load that was reported with the end of an answer.
-    virtual void onLoadReport(PeerLink &link, std::uint32_t running, std::uint32_t queued,
-                              absl::Duration linkBacklog) = 0;
+    virtual void onLoadReport(PeerLink &link, const GateLoadReport &report) = 0;
     /// Called for hello and gate reports, and for every frame that the link does not handle itself.
     virtual void onLinkFrame(PeerLink &link, const mesh::Frame &frame) = 0;
     virtual mesh::Frame makeHello(const HostId &host) = 0;
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -391,10 +391,9 @@
     m_selector.onGateReport(link.host().host, report, steadyNow());
 }
 
-void PeerMesh::onLoadReport(PeerLink &link, std::uint32_t running, std::uint32_t queued,
-                            absl::Duration linkBacklog)
+void PeerMesh::onLoadReport(PeerLink &link, const GateLoadReport &report)
 {
-    m_selector.onLoadReport(link.host().host, running, queued, linkBacklog);
+    m_selector.onLoadReport(link.host().host, report);
 }
 
 NodeState PeerMesh::nodeState() const
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -85,8 +85,7 @@
     void onAddressTaken(PeerLink &link, const PeerHost &owner) override;
     void onLinkLost(PeerLink &link, std::string_view cause) override;
     void onGateReport(PeerLink &link, const GateReport &report) override;
-    void onLoadReport(PeerLink &link, std::uint32_t running, std::uint32_t queued,
-                      absl::Duration linkBacklog) override;
+    void onLoadReport(PeerLink &link, const GateLoadReport &report) override;
     void onLinkFrame(PeerLink &link, const mesh::Frame &frame) override;
     mesh::Frame makeHello(const HostId &host) override;
     void onSessionFrame(PeerSession &session, const mesh::Frame &frame) override;
--- a/packages/node/src/peers/PeerMessages.cpp
+++ b/packages/node/src/peers/PeerMessages.cpp
@@ -123,6 +123,30 @@
     return head;
 }
 
+mesh::RequestLimit encodeRequestLimit(const RequestLimitReport &report)
+{
+    mesh::RequestLimit message;
+    message.set_per_second(report.perSecond);
+    message.set_allowance(report.allowance);
+    return message;
+}
+
+RequestLimitReport decodeRequestLimit(const mesh::RequestLimit &message)
+{
+    return { message.per_second(), message.allowance() };
+}
+
+GateLoadReport decodeLoadReport(const mesh::AnswerEnd &message)
+{
+    GateLoadReport report;
+    report.running = message.running();
+    report.queued = message.queued();
+    report.linkBacklog = absl::Milliseconds(message.link_backlog_ms());
+    if (message.has_request_limit())
+        report.requestLimit = decodeRequestLimit(message.request_limit());
+    return report;
+}
+
 mesh::Frame encodeGateState(const GateReport &report, const NodeState &node)
 {
     mesh::Frame frame;
@@ -140,6 +164,8 @@
     message.set_link_backlog_ms(
             static_cast<std::uint32_t>(absl::ToInt64Milliseconds(report.linkBacklog)));
     message.set_failure_share(static_cast<float>(report.failureShare));
+    if (report.requestLimit)
+        *message.mutable_request_limit() = encodeRequestLimit(*report.requestLimit);
     return frame;
 }
 
@@ -161,6 +187,8 @@
     report.linkMbps = message.link_mbps();
     report.linkBacklog = absl::Milliseconds(message.link_backlog_ms());
     report.failureShare = message.failure_share();
+    if (message.has_request_limit())
+        report.requestLimit = decodeRequestLimit(message.request_limit());
     return report;
 }
 
--- a/packages/node/src/peers/PeerMessages.h
+++ b/packages/node/src/peers/PeerMessages.h
@@ -45,6 +45,11 @@
     std::uint32_t linkMbps = 0; ///< 0 is unknown.
 };
 
+mesh::RequestLimit encodeRequestLimit(const RequestLimitReport &report);
+RequestLimitReport decodeRequestLimit(const mesh::RequestLimit &message);
+
+GateLoadReport decodeLoadReport(const mesh::AnswerEnd &message);
+
 mesh::Frame encodeGateState(const GateReport &report, const NodeState &node);
 GateReport decodeGateReport(const mesh::GateState &message);
 NodeState decodeNodeState(const mesh::GateState &message);
--- a/packages/node/src/peers/PeerSession.cpp
+++ b/packages/node/src/peers/PeerSession.cpp
@@ -108,6 +108,8 @@
     message.set_queued(report.queued);
     message.set_link_backlog_ms(
             static_cast<std::uint32_t>(absl::ToInt64Milliseconds(m_linkScheduler.backlogTime())));
+    if (report.requestLimit)
+        *message.mutable_request_limit() = encodeRequestLimit(*report.requestLimit);
     if (m_channel->hasPacedFrames(id.value()))
         m_channel->sendPaced(id.value(), frame); // After the remaining body.
     else
--- a/tests/support/DispatchModel.cpp
+++ b/tests/support/DispatchModel.cpp
@@ -49,6 +49,7 @@
         : gate(SlotLimit(scenario.slots, Start - absl::Hours(1), absl::ZeroDuration(),
                          scenario.minSlotShare),
                {}, QueueDiscipline::OnTimeFirst)
+        , reportsRequestLimit(scenario.reportsRequestLimits)
     {}
 
     GateReport report(std::size_t index, absl::Time now) const
@@ -61,10 +62,18 @@
         report.slots = load.limit;
         report.running = load.inUse;
         report.queued = load.queued;
+        report.requestLimit = requestLimitReport(now);
         return report;
     }
 
+    std::optional<RequestLimitReport> requestLimitReport(absl::Time now) const
+    {
+        return reportsRequestLimit ? gate.rateLimit().report(gate.load(now).queued, now)
+                                   : std::nullopt;
+    }
+
     Gate gate;
+    bool reportsRequestLimit;
     double serviceTimeRatio = 1;
 };
 
@@ -95,6 +104,12 @@
                 1 + scenario.serviceTimeSpread * (2 * m_random.uniformReal() - 1);
         m_ingresses.push_back(std::make_unique<Ingress>(scenario, m_random.next()));
     }
+    const double usualRate =
+            scenario.utilization * scenario.slots / absl::ToDoubleSeconds(scenario.meanServiceTime);
+    const auto limitedCount = static_cast<std::size_t>(scenario.limitedServerShare
+                                                       * static_cast<double>(scenario.hostCount));
+    for (std::size_t i = 0; i < limitedCount; ++i)
+        m_servers[i]->gate.setRequestLimit(scenario.requestLimitShare * usualRate, m_now);
     for (const auto &ingress : m_ingresses) {
         for (std::size_t i = 0; i < scenario.hostCount; ++i) {
             ingress->selector.addHost(hostId(i), North);
@@ -203,12 +218,15 @@
                                     id, isShed ? RunOutcome::Shed : RunOutcome::Answered, m_now));
             ++request->serversReached;
             const GateLoad load = m_servers[server]->gate.load(m_now);
-            schedule(m_scenario.networkDelay, [this, server, request, isShed, service, load] {
+            const auto requestLimit = m_servers[server]->requestLimitReport(m_now);
+            schedule(m_scenario.networkDelay, [this, server, request, isShed, service, load,
+                                               requestLimit] {
                 onAttemptEnded(request, isShed ? AttemptOutcome::Failed : AttemptOutcome::Succeeded,
                                service, absl::ZeroDuration());
                 if (!isShed)
                     m_ingresses[request->ingress]->selector.onLoadReport(
-                            hostId(server), load.inUse, load.queued, absl::ZeroDuration());
+                            hostId(server),
+                            { load.inUse, load.queued, absl::ZeroDuration(), requestLimit });
             });
         });
     }
--- a/tests/support/DispatchModel.h
+++ b/tests/support/DispatchModel.h
@@ -19,11 +19,14 @@
 /// Parameters of one service and its load.
 struct DispatchScenario
 {
-    std::size_t hostCount = 53;     ///< Each has an ingress and a backend server.
-    std::uint32_t slots = 18;       ///< Per backend server.
-    double utilization = 0.6;       ///< Offered load relative to the slots of all servers.
-    double serviceTimeSpread = 0.3; ///< Service time ratios of servers lie within 1 +- this.
-    double shedShare = 0;           ///< Share of requests that servers shed regardless of load.
+    std::size_t hostCount = 53;       ///< Each has an ingress and a backend server.
+    std::uint32_t slots = 18;         ///< Per backend server.
+    double utilization = 0.6;         ///< Offered load relative to the slots of all servers.
+    double serviceTimeSpread = 0.3;   ///< Service time ratios of servers lie within 1 +- this.
+    double shedShare = 0;             ///< Share of requests that servers shed regardless of load.
+    double limitedServerShare = 0;    ///< Share of servers that state a request limit.
+    double requestLimitShare = 1;     ///< Their limit relative to the mean rate of a server.
+    bool reportsRequestLimits = true; ///< Gates tell the ingresses the state of their limits.
     absl::Duration meanServiceTime = absl::Milliseconds(340);
     absl::Duration objective = absl::Seconds(1);
     absl::Duration deadline = absl::Seconds(3);
--- a/tests/traffic/DispatchTests.cpp
+++ b/tests/traffic/DispatchTests.cpp
@@ -50,6 +50,29 @@
     CHECK(first.p99 != other.p99);
 }
 
+// Load: half of the servers of a service take only a part of their usual rate; the others have room
+// for the rest.
+TEST_CASE("servers with a request limit: the others get what the limited ones cannot take")
+{
+    for (const std::uint64_t seed : { 1, 2, 3 }) {
+        for (const double requestLimitShare : { 0.02, 0.3, 0.6 }) {
+            CAPTURE(seed, requestLimitShare);
+            DispatchScenario scenario = smallFleet();
+            scenario.seed = seed;
+            scenario.utilization = 0.45;
+            scenario.limitedServerShare = 0.5;
+            scenario.requestLimitShare = requestLimitShare;
+            const DispatchResult result = DispatchModel(scenario).run();
+            // At most 1 in 100 requests may be lost to a limit that the fleet as a whole can bear.
+            CHECK(static_cast<double>(result.refused)
+                  <= 0.01 * static_cast<double>(result.offered));
+            const double informedShare = inTimeShare(scenario);
+            scenario.reportsRequestLimits = false;
+            CHECK(informedShare > inTimeShare(scenario));
+        }
+    }
+}
+
 TEST_CASE(
         "servers that shed with free slots: lowering the slot limit answers fewer requests in time")
 {
--- a/tests/traffic/FinishTimeSelectorTests.cpp
+++ b/tests/traffic/FinishTimeSelectorTests.cpp
@@ -244,3 +244,37 @@
     CHECK(probes >= 25);
     CHECK(probes <= 100);
 }
+
+TEST_CASE("a server with a request limit gets requests as far as its limit has room")
+{
+    Fleet fleet;
+    fleet.addHost("busy", "north", 17);
+    fleet.addHost("limited", "north", 0);
+    GateReport report = gateReport("limited", 0);
+    SECTION("room")
+    {
+        report.requestLimit = { 10, 5 };
+        fleet.selector.onGateReport(HostId("limited"), report, Now);
+        int sent = 0;
+        for (int i = 0; i < 20; ++i) {
+            const auto choice = fleet.selector.select(Desk, Lookup, {}, Now);
+            fleet.selector.onAttemptSent(choice->host, Lookup);
+            sent += choice->host == HostId("limited") ? 1 : 0;
+        }
+        CHECK(sent >= 5);
+        CHECK(sent <= 6); // The next token comes about as soon as a busy server answers.
+    }
+    SECTION("none, with requests waiting")
+    {
+        report.requestLimit = { 10, -5 };
+        fleet.selector.onGateReport(HostId("limited"), report, Now);
+        CHECK(fleet.countSelections(50)["limited"] == 0);
+    }
+    SECTION("no longer limited")
+    {
+        report.requestLimit = { 10, -5 };
+        fleet.selector.onGateReport(HostId("limited"), report, Now);
+        fleet.selector.onLoadReport(HostId("limited"), {});
+        CHECK(fleet.countSelections(50)["limited"] == 50);
+    }
+}
