Close the gate when an answer says that the backend server leaves

Callers could be sent to a backend server that had said in its answers that it leaves, for as long as no announcement said so too (DRAIN as the users word it now).

Cause: nothing read the header. An announcement and an answer are two messages about the same promise, but only one was evaluated.

The notice is now a drain like any other: it is recorded for the process that answered, closes the gate for new and queued requests, has copies in the store and at peers, and is not undone by a late announcement. An answer of an earlier process than the current one changes nothing.

--- a/packages/decisions/include/godwitlift/traffic/ServerLifecycle.h
+++ b/packages/decisions/include/godwitlift/traffic/ServerLifecycle.h
@@ -65,6 +65,9 @@
     /// A process \p id leaves. The message does not tell which one, so that every process of that
     /// id which had started by \p wallClock is drained. Stale if another id is current.
     LifecycleChange onDeregistration(const BackendServerId &id, absl::Time wallClock);
+    /// An answer of the current process says that it leaves. If its start is not known yet, every
+    /// process of its id that had started by \p wallClock is drained.
+    LifecycleChange onLeavingNotice(absl::Time wallClock);
     /// The address is used by another process or by none.
     LifecycleChange onLost();
     /// The last announcement is older than \p limit.
--- a/packages/decisions/src/traffic/ServerLifecycle.cpp
+++ b/packages/decisions/src/traffic/ServerLifecycle.cpp
@@ -140,6 +140,16 @@
     return updateState(false);
 }
 
+LifecycleChange ServerLifecycle::onLeavingNotice(absl::Time wallClock)
+{
+    if (m_current.id.isEmpty())
+        return LifecycleChange::None;
+    const bool isStartKnown = m_current.startedUnixMs != 0;
+    m_drained.add({ m_current.id,
+                    isStartKnown ? m_current.startedUnixMs : absl::ToUnixMillis(wallClock) });
+    return updateState(false);
+}
+
 LifecycleChange ServerLifecycle::onLost()
 {
     m_isLost = true;
--- a/packages/node/src/gate/BackendServerGate.cpp
+++ b/packages/node/src/gate/BackendServerGate.cpp
@@ -3,6 +3,7 @@
 #include "gate/BackendServerGate.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
 
 #include <algorithm>
 #include <utility>
@@ -502,8 +503,12 @@
             [&head](std::string_view name) { return head.fields.find(name); });
     if (processNumber != m_lifecycle.processNumber())
         return;
-    if (notice.isLeaving)
-        m_listener.onLeavingNotice(requestId);
+    if (notice.isLeaving && m_lifecycle.state() != ServerState::Draining) {
+        const LifecycleChange change = m_lifecycle.onLeavingNotice(absl::Now());
+        if (const DrainRecord *record = m_lifecycle.drains().find(m_lifecycle.id()))
+            m_listener.onLeavingNotice(requestId, *record);
+        applyLifecycleChange(change, "answer");
+    }
     if (notice.hasUnreadableLimit) {
         m_listener.onRequestLimitUnreadable();
         return;
--- a/packages/node/src/gate/BackendServerGate.h
+++ b/packages/node/src/gate/BackendServerGate.h
@@ -34,8 +34,9 @@
     virtual void onRequestLimitChanged() = 0;
     /// The backend server states a request limit that cannot be read.
     virtual void onRequestLimitUnreadable() = 0;
-    /// An answer of the backend server says that it leaves.
-    virtual void onLeavingNotice(const std::string &requestId) = 0;
+    /// An answer to \p requestId says that the backend server leaves, which was not known. The gate
+    /// obeys \p record, which has no copy yet.
+    virtual void onLeavingNotice(const std::string &requestId, const DrainRecord &record) = 0;
 };
 
 /// Owns slots, queue, connections and life cycle of the host's backend server.
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -272,14 +272,22 @@
                 steadyNow());
     }
 
-    void onLeavingNotice(const std::string &requestId) override
+    void onLeavingNotice(const std::string &requestId, const DrainRecord &record) override
     {
         m_log.write("leaving-notice",
                     LogLine("leaving-notice")
-                            .add("server", m_gate.lifecycle().id().value())
-                            .add("state", name(m_gate.lifecycle().state()))
+                            .add("server", record.server.value())
+                            .add("started_ms", record.startedUpToUnixMs)
                             .add("request", requestId),
                     steadyNow());
+        // Nobody waits for a copy of the record, which an earlier drain may have already.
+        m_mesh.drainReplicator().replicate(record, [this, record](DrainCopy copy) {
+            m_log.write("leaving-recorded",
+                        LogLine("leaving-recorded")
+                                .add("server", record.server.value())
+                                .add("recorded", name(copy)),
+                        steadyNow());
+        });
     }
 
     void refreshGauges()
--- a/tests/node/RequestPath.h
+++ b/tests/node/RequestPath.h
@@ -177,7 +177,7 @@
     void onServerStateChanged(std::string_view) override {}
     void onRequestLimitChanged() override {}
     void onRequestLimitUnreadable() override { ++unreadableLimits; }
-    void onLeavingNotice(const std::string &) override { ++leavingNotices; }
+    void onLeavingNotice(const std::string &, const DrainRecord &) override { ++leavingNotices; }
     AttemptGateway *gatewayTo(const HostId &) override { return &gateway; }
     std::size_t nodeCount() const override { return 1; }
 
--- a/tests/traffic/ServerLifecycleTests.cpp
+++ b/tests/traffic/ServerLifecycleTests.cpp
@@ -246,3 +246,16 @@
         CHECK(other.state() == ServerState::Ready);
     }
 }
+
+// Guards against a leaving notice that is recorded for a process that the node does not know.
+TEST_CASE("a process that is known from its probe only and says that it leaves stays drained")
+{
+    ServerLifecycle lifecycle;
+    CHECK(lifecycle.onLeavingNotice(WallClock) == LifecycleChange::None);
+    lifecycle.onHealthyProbe(BackendServerId("a"), 18);
+    CHECK(lifecycle.onLeavingNotice(WallClock) == LifecycleChange::Draining);
+    lifecycle.onAnnouncement(announcement("a", 900, 3), Start);
+    CHECK(lifecycle.state() == ServerState::Draining);
+    lifecycle.onAnnouncement(announcement("a", 1100, 1), Start);
+    CHECK(lifecycle.state() == ServerState::Ready);
+}
