Recall a backend server's request limit when the node beside it restarts

Backend servers would get up to all their slots at once, each time the node beside them restarted while they named a limit.

A new process learns it from its health probe, but that answer may be lost, refused or later than the first announcement.

Peers know the limit from the gate's reports. Their hello now carries it; it comes first on the connection that carries their requests, so that no request of theirs can be ahead of it. It holds until the first answer of the server, which is right about itself. The store is not involved, so that it may be away and costs nothing. Weighed against a slow start of every restarted gate, which would hold back all servers without a limit.

--- a/packages/node/src/gate/BackendServerGate.cpp
+++ b/packages/node/src/gate/BackendServerGate.cpp
@@ -517,7 +517,11 @@
     const PlatformHeaderNames &names = m_options.protocol.headerNames();
     const bool isComplete = head.fields.find(names.answerSeal).has_value()
                             || head.fields.find(names.notExecuted).has_value();
-    if (notice.requestLimit == requestLimit() || (!notice.requestLimit && !isComplete))
+    if (!notice.requestLimit && !isComplete)
+        return;
+    m_hasServerNotice = true;
+    m_recalledLimits.clear();
+    if (notice.requestLimit == requestLimit())
         return;
     applyGateActions(m_gate.setRequestLimit(notice.requestLimit, steadyNow()));
     m_listener.onRequestLimitChanged();
@@ -529,9 +533,29 @@
     if (m_gateProcessNumber == m_lifecycle.processNumber())
         return;
     m_gateProcessNumber = m_lifecycle.processNumber();
-    if (!requestLimit())
+    m_hasServerNotice = false;
+    if (requestLimit()) {
+        m_gate.resetRequestLimit();
+        m_listener.onRequestLimitChanged();
+    }
+    applyRecalledLimit();
+}
+
+void BackendServerGate::recallRequestLimit(const BackendServerId &id, double requestsPerSecond)
+{
+    if (m_hasServerNotice)
+        return;
+    const auto [it, isNew] = m_recalledLimits.try_emplace(id, requestsPerSecond);
+    it->second = std::min(it->second, requestsPerSecond);
+    applyRecalledLimit();
+}
+
+void BackendServerGate::applyRecalledLimit()
+{
+    const auto it = m_recalledLimits.find(m_lifecycle.id());
+    if (it == m_recalledLimits.end() || requestLimit() == it->second)
         return;
-    m_gate.resetRequestLimit();
+    applyGateActions(m_gate.setRequestLimit(it->second, steadyNow()));
     m_listener.onRequestLimitChanged();
 }
 
--- a/packages/node/src/gate/BackendServerGate.h
+++ b/packages/node/src/gate/BackendServerGate.h
@@ -12,6 +12,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -69,6 +70,9 @@
     /// See ServerLifecycle::awaitDrainRecall().
     void awaitDrainRecall() { m_lifecycle.awaitDrainRecall(); }
     void onDrainsRecalled();
+    /// A peer was told by an earlier process of this node that the backend server \p id states a
+    /// request limit. It holds until the first answer of the server to this node.
+    void recallRequestLimit(const BackendServerId &id, double requestsPerSecond);
     /// Starts a health probe. Does nothing without a configuration or while a probe is in progress.
     void probe();
     /// Refuses queued and new attempts; running ones continue.
@@ -102,6 +106,7 @@
                         std::uint64_t processNumber);
     /// Forgets what the gate knows about an earlier process than the current one.
     void resetForNewProcess();
+    void applyRecalledLimit();
     void updateSlots();
     std::shared_ptr<BackendConnection> acquireConnection(const AttemptRequest &request);
     void releaseConnection(const std::shared_ptr<BackendConnection> &connection);
@@ -122,6 +127,10 @@
     bool m_isShuttingDown = false;
     std::uint64_t m_gateProcessNumber = 0; ///< Of the process whose request limit the gate keeps.
     std::uint64_t m_startedRequestCount = 0;
+    /// The lowest recalled request limit of each server; empty once the current process answers.
+    std::map<BackendServerId, double> m_recalledLimits;
+    bool m_hasServerNotice =
+            false; ///< The current process has stated its limit, or that it has none.
 };
 
 /// Passes the attempts of one source, such as the ingress or a peer's session, to the gate of the
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -249,6 +249,7 @@
                 LogLine("host-forgotten").add("host", host.value()).add("cause", cause),
                 steadyNow());
     m_selector.removeHost(host);
+    m_limitedServers.erase(host);
     m_links.erase(host);
 }
 
@@ -358,6 +359,8 @@
     *hello.mutable_self() = encodeHost(m_options.ownHost);
     hello.set_configuration_version(m_configurationUpdater->version().value());
     m_drainReplicator.fillHello(host, hello);
+    if (const auto it = m_limitedServers.find(host); it != m_limitedServers.end())
+        *hello.mutable_limited_server() = it->second;
     return frame;
 }
 
@@ -386,8 +389,29 @@
                 steadyNow());
 }
 
+void PeerMesh::recordLimitedServer(const HostId &host, const GateReport &report)
+{
+    if (report.server.isEmpty()) // The node does not know its backend server yet.
+        return;
+    if (!report.requestLimit) {
+        m_limitedServers.erase(host);
+        return;
+    }
+    mesh::LimitedServer &entry = m_limitedServers[host];
+    entry.set_server(report.server.value());
+    entry.set_requests_per_second(report.requestLimit->perSecond);
+}
+
+void PeerMesh::recallRequestLimit(const mesh::Hello &hello)
+{
+    if (hello.has_limited_server())
+        m_gate.recallRequestLimit(BackendServerId(hello.limited_server().server()),
+                                  hello.limited_server().requests_per_second());
+}
+
 void PeerMesh::onGateReport(PeerLink &link, const GateReport &report)
 {
+    recordLimitedServer(link.host().host, report);
     m_selector.onGateReport(link.host().host, report, steadyNow());
 }
 
@@ -481,6 +505,7 @@
     switch (frame.content_case()) {
     case mesh::Frame::kHello:
         m_drainReplicator.onHello(link.host().host, frame.hello());
+        recallRequestLimit(frame.hello());
         break;
     case mesh::Frame::kGateState:
         m_peerStates[link.host().host] = decodeNodeState(frame.gate_state());
@@ -508,6 +533,7 @@
         const PeerHost peer = decodeHost(frame.hello().self());
         session.setPeer(peer.host);
         m_drainReplicator.onHello(peer.host, frame.hello());
+        recallRequestLimit(frame.hello());
         session.send(makeHello(peer.host));
         for (const mesh::Frame &notice : m_drainReplicator.notices())
             session.send(notice);
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -80,6 +80,8 @@
     /// Decides whether this node watches the store for configuration changes on behalf of its zone.
     void updateWatchRole();
     NodeState nodeState() const;
+    void recordLimitedServer(const HostId &host, const GateReport &report);
+    void recallRequestLimit(const mesh::Hello &hello);
 
     void onLinkOpened(PeerLink &link) override;
     void onAddressTaken(PeerLink &link, const PeerHost &owner) override;
@@ -108,6 +110,9 @@
     std::map<HostId, std::unique_ptr<PeerLink>> m_links;
     std::map<PeerSession *, std::shared_ptr<PeerSession>> m_sessions;
     std::map<HostId, NodeState> m_peerStates; ///< Latest report on each link that is up.
+    /// Backend servers of other hosts that state a request limit, by the latest report. Kept while
+    /// the link is down, for the next process of the host's node.
+    std::map<HostId, mesh::LimitedServer> m_limitedServers;
     absl::Time m_lastConfigurationRequestTime = absl::InfinitePast();
     /// When the link will have carried the large changes that were sent last.
     absl::Time m_largeTransferEnd = absl::InfinitePast();
--- a/tests/process/drains.py
+++ b/tests/process/drains.py
@@ -1,5 +1,5 @@
-"""Tests with real nodes that an acknowledged drain holds, whatever arrives late and whatever restarts,
-and that a stopping node lets requests complete.
+"""Tests with real nodes that an acknowledged drain and a request limit hold, whatever arrives late and
+whatever restarts, and that a stopping node lets requests complete.
 
   drains.py SCENARIO
 
@@ -237,13 +237,55 @@
     assert status == 200, f"answered with {status}, 5.6 s after SIGTERM"
 
 
+# Guards against a request limit that is forgotten with the node beside the backend server (incident
+# request-limit-ignored).
+async def request_limit_over_restarts_of_the_node(deployment):
+    """Requests from other hosts stay within the limit while the node beside the server restarts in series."""
+    limit = 5
+    for host in deployment.hosts:
+        await host.backend.announce(host.announcement_port)
+        await deployment.wait_until_served(host, host.backend.id)
+    limited = deployment.hosts[0]
+    limited.backend.request_limit = limit
+    # So that the probe after a restart does not show the limit; it may also be lost or refused.
+    limited.backend.names_limit_in_health = False
+    for host in deployment.hosts:
+        host.backend.answer_seconds = 0.3
+    is_over = False
+
+    async def send_continuously(host):
+        while not is_over:
+            await deployment.send_request(host)
+
+    clients = [asyncio.ensure_future(send_continuously(host))
+               for host in deployment.hosts[1:] for _ in range(16)]
+    await asyncio.sleep(1)
+    stated_at = asyncio.get_running_loop().time()
+    for _ in range(4):
+        await asyncio.sleep(0.7)
+        await limited.restart()
+        await limited.restart()
+        await limited.backend.announce(limited.announcement_port)
+    await asyncio.sleep(2)
+    is_over = True
+    await asyncio.gather(*clients)
+    starts = sorted(start for executions in deployment.executions.values()
+                    for start, server, _, _ in executions
+                    if server == limited.backend.id and start > stated_at)
+    # The users' bound: in any four seconds one and a half times the limit and 5 requests.
+    largest = max(sum(first <= start < first + 4 for start in starts) for first in starts)
+    assert largest <= 1.5 * limit * 4 + 5, f"{largest} requests in 4 s at a limit of {limit} a second"
+    assert len(starts) >= limit, f"only {len(starts)} requests at a server that takes {limit} a second"
+
+
 SCENARIOS = {function.__name__: (function, host_count) for function, host_count in (
     (late_announcement_of_a_deregistered_server_that_was_known_from_its_probe, 1),
     (node_restart_after_deregistration, 1),
     (node_restart_after_drain_without_store, 3),
     (acknowledgement_only_after_the_drain_is_recorded, 1),
     (later_process_with_the_id_of_a_drained_one, 1),
-    (request_that_ends_shortly_before_the_stop_timeout, 1))}
+    (request_that_ends_shortly_before_the_stop_timeout, 1),
+    (request_limit_over_restarts_of_the_node, 3))}
 
 
 async def run(scenario, host_count, folder):
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -164,6 +164,9 @@
         self.state = "gone"
         self.drained_at = None  # Time at which the drain was acknowledged.
         self.truncation_probability = 0.0
+        self.request_limit = None  # Requests per second that it names in its answers.
+        self.names_limit_in_health = True
+        self.answer_seconds = None  # If set, requests run for this time.
         self.answer_event = None  # If set, requests run until it happens instead of a short time.
         self.restart()
 
@@ -212,6 +215,11 @@
             self.drained_at = time.monotonic()
         return is_acknowledged
 
+    def notice_fields(self):
+        """What the server says about itself in each of its answers."""
+        limit = self.request_limit
+        return {} if limit is None else {"Server-Limit": f"{limit:g}"}
+
     async def serve_connection(self, reader, writer):
         stream = HttpStream(reader, writer)
         try:
@@ -228,7 +236,10 @@
         if target == "/health":
             status = "200 OK" if self.state == "ready" else "503 Service Unavailable"
             await stream.send_message(f"HTTP/1.1 {status}", {"X-Instance-Id": self.id,
-                                                             "X-Server-Load": "0,0,8"})
+                                                             "X-Server-Load": "0,0,8",
+                                                             **(self.notice_fields()
+                                                                if self.names_limit_in_health
+                                                                else {})})
             return True
         expected = fields.get("x-expect-instance", self.id)
         if expected != self.id or self.state == "gone":
@@ -240,6 +251,8 @@
             (time.monotonic(), self.id, self.drained_at, target))
         if self.answer_event is not None:
             await self.answer_event.wait()
+        elif self.answer_seconds is not None:
+            await asyncio.sleep(self.answer_seconds)
         else:
             await asyncio.sleep(self.random.uniform(0.01, 0.08))
         text = f"{method} {target} {len(body)} ".encode() + b"x" * (len(target) * 37 % 4000)
@@ -248,8 +261,8 @@
             await stream.writer.drain()
             return False
         await stream.send_message("HTTP/1.1 200 OK",
-                                  {"X-Attempt-Id": request, "X-Response-Seal": "s"},
-                                  text)
+                                  {"X-Attempt-Id": request, "X-Response-Seal": "s",
+                                   **self.notice_fields()}, text)
         return True
 
 
