Log a digest of a request's content with its failed attempts

The logs did not show which requests have the same content under different ids, so that the hypotheses of the crashing request incident could not be told apart. The digest covers method, target, host and body; ids, deadlines and the caller's host differ between repetitions. It travels with the attempt, so that the gate can log and use it too. Nothing acts on it yet.

--- a/packages/decisions/include/godwitlift/base/StrongId.h
+++ b/packages/decisions/include/godwitlift/base/StrongId.h
@@ -98,6 +98,8 @@
 using Incarnation = StrongNumber<struct IncarnationTag>;
 /// Orders the changes of one host incarnation, or the announcements of one backend server process.
 using Sequence = StrongNumber<struct SequenceTag>;
+/// Hash of what a client asks for, equal for each repetition of a request.
+using ContentDigest = StrongNumber<struct ContentDigestTag>;
 /// Identifies one attempt of a call between two nodes, unique per sending node.
 using AttemptId = StrongNumber<struct AttemptIdTag>;
 
--- a/packages/node/src/gate/Attempt.h
+++ b/packages/node/src/gate/Attempt.h
@@ -20,6 +20,7 @@
 {
     AttemptId id; ///< Unique per sending node.
     std::string requestId;
+    ContentDigest content;
     ServiceId service;
     std::string head; ///< Request line and header fields, without those that the gate adds.
     std::shared_ptr<const std::string> body;
--- a/packages/node/src/ingress/IngressCall.cpp
+++ b/packages/node/src/ingress/IngressCall.cpp
@@ -2,6 +2,9 @@
 /// Attempts of a client request, retries and the final answer.
 #include "ingress/IngressCall.h"
 
+#include "godwitlift/base/AbslStringView.h"
+#include "godwitlift/base/Hashing.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
@@ -24,6 +27,16 @@
     return absl::StrFormat("Retry-After: %.3f\r\n", absl::ToDoubleSeconds(retryAfter));
 }
 
+/// Digest of what a client asks for. Header fields other than the host are left out: ids, deadlines
+/// and the caller's host differ between repetitions of a request.
+ContentDigest contentDigest(const RequestHead &head, std::string_view body)
+{
+    const std::string requestLine =
+            absl::StrCat(head.method, " ", head.target, " ",
+                         toAbslStringView(head.fields.find("host").value_or(std::string_view())));
+    return ContentDigest(hashOf(body, hashOf(requestLine)));
+}
+
 bool methodExpectsBody(const std::string &method)
 {
     return method == "POST" || method == "PUT" || method == "PATCH";
@@ -41,6 +54,7 @@
     , m_destination(std::move(destination))
     , m_requestId(std::move(requestId))
     , m_body(std::make_shared<const std::string>(std::move(m_exchange->request().body)))
+    , m_content(contentDigest(m_exchange->request().head, *m_body))
     , m_deadline(m_exchange->arrivalTime() + std::min(clientTimeout, route.timeout))
     , m_deadlineTimer(ingress.m_loop.get_executor())
 {
@@ -113,6 +127,7 @@
     AttemptRequest request;
     request.id = m_attemptId;
     request.requestId = m_requestId;
+    request.content = m_content;
     request.service = m_destination;
     request.head = requestHead();
     request.body = m_body;
@@ -268,6 +283,7 @@
     m_ingress.m_log.write("attempt-failed",
                           LogLine("attempt-failed")
                                   .add("request", m_requestId)
+                                  .add("content", m_content.value())
                                   .add("host", m_host.value())
                                   .add("verdict", name(failure.verdict))
                                   .add("reason", name(failure.reason))
@@ -346,6 +362,7 @@
     if (!isSuccess || m_ingress.m_lastAttemptId % SuccessLogInterval == 0) {
         LogLine line("request-ended");
         line.add("request", m_requestId)
+                .add("content", m_content.value())
                 .add("status", status)
                 .add("reason", name(reason))
                 .add("verdict", name(isSuccess ? Verdict::Ran : m_worstVerdict))
--- a/packages/node/src/ingress/IngressCall.h
+++ b/packages/node/src/ingress/IngressCall.h
@@ -64,6 +64,7 @@
     ServiceId m_destination;
     std::string m_requestId;
     std::shared_ptr<const std::string> m_body;
+    ContentDigest m_content;
     absl::Time m_deadline;
     LoopTimer m_deadlineTimer;
     std::shared_ptr<IngressCall> m_self; ///< Keeps the call alive until it has ended.
--- a/packages/node/src/peers/PeerMessages.cpp
+++ b/packages/node/src/peers/PeerMessages.cpp
@@ -43,6 +43,7 @@
     mesh::OpenRequest &message = *frame.mutable_open_request();
     message.set_attempt(request.id.value());
     message.set_request_id(request.requestId);
+    message.set_content_digest(request.content.value());
     message.set_service(request.service.value());
     message.set_head(request.head);
     message.set_body(*request.body);
@@ -63,6 +64,7 @@
     AttemptRequest request;
     request.id = AttemptId(message.attempt());
     request.requestId = message.request_id();
+    request.content = ContentDigest(message.content_digest());
     request.service = ServiceId(message.service());
     request.head = message.head();
     request.body = std::make_shared<const std::string>(message.body());
