Quarantine a request under which three backend servers have ended

Cause: attempts and retries are limited per client attempt and per host, while the harm adds up per request over the fleet. No node saw that a request had ended three servers.

A gate now notes the requests whose answers are lost; when its server then accepts no connection, or another process takes its place, before a later request is answered, the server ended under them. The gate tells all peers, which keep a set of ended processes for each digest of method, target, host and body, and tell a node that starts. From three processes on such requests are refused at once, as not run, at the ingress and at the gate, for a minute that doubles with each further crash; then single trials. What tells the cause from requests that were only in progress is that it is never answered: a complete answer clears a request everywhere, one answered in the last 10 s is not charged, nor is one at a server that had drained.

--- a/packages/decisions/include/godwitlift/base/Verdict.h
+++ b/packages/decisions/include/godwitlift/base/Verdict.h
@@ -45,13 +45,14 @@
     AnswerNotKept,       ///< The call of the key ran, but its answer was too large to store.
     RetryBudgetSpent,    ///< The retry budget of the rank or of the call chain is exhausted.
     TooLarge,            ///< The request exceeds a size limit.
-    Overloaded,  ///< The ingress has reached its limit of open requests or of recorded keys.
-    ServerError, ///< The backend server answered with an error.
-    NoRequestId, ///< The request has no request id.
-    RequestLimit ///< The request limit that the backend server states leaves no room in time.
+    Overloaded,   ///< The ingress has reached its limit of open requests or of recorded keys.
+    ServerError,  ///< The backend server answered with an error.
+    NoRequestId,  ///< The request has no request id.
+    RequestLimit, ///< The request limit that the backend server states leaves no room in time.
+    Quarantined   ///< Backend servers have crashed under this request.
 };
 
-inline constexpr std::size_t ReasonCount = static_cast<std::size_t>(Reason::RequestLimit) + 1;
+inline constexpr std::size_t ReasonCount = static_cast<std::size_t>(Reason::Quarantined) + 1;
 
 /// Stable lower-case name used in headers, logs and metrics.
 std::string_view name(Verdict verdict);
--- a/packages/decisions/src/base/Verdict.cpp
+++ b/packages/decisions/src/base/Verdict.cpp
@@ -40,6 +40,7 @@
     "server-error",
     "no-request-id",
     "request-limit",
+    "quarantined",
 };
 
 template<typename Enum, std::size_t Count>
--- a/packages/node/src/gate/BackendServerGate.cpp
+++ b/packages/node/src/gate/BackendServerGate.cpp
@@ -2,6 +2,8 @@
 /// Runs attempts at the backend server and tracks the server's life cycle.
 #include "gate/BackendServerGate.h"
 
+#include "godwitlift/base/Hashing.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
@@ -78,6 +80,7 @@
     AttemptId sourceAttemptId() const { return LocalGateway::sourceAttemptId(m_request.id); }
     const std::shared_ptr<BackendConnection> &connection() const { return m_connection; }
     bool isRunning() const { return m_connection != nullptr; }
+    absl::Time startTime() const { return m_started; }
 
     void start(std::shared_ptr<BackendConnection> connection, std::string text)
     {
@@ -111,6 +114,7 @@
             m_refusedStatus = head.status;
             return;
         }
+        m_owner.m_crashDetector.onAnswer(m_started);
         m_isServerError = head.status >= 500;
         AnswerHead answer;
         answer.status = head.status;
@@ -161,6 +165,8 @@
                     { Verdict::MayHaveRun, Reason::AnswerMismatched, true, absl::ZeroDuration() });
             return;
         }
+        if (m_owner.m_options.crashHistory.onAnswered(m_request.content, steadyNow()))
+            m_owner.m_listener.onCrashesCleared(m_request.content);
         const GateTimings timings{ m_started - m_arrived, steadyNow() - m_started };
         m_owner.onAttemptEnded(*this, RunOutcome::Answered, m_isServerError);
         if (const auto observer = m_observer.lock())
@@ -170,6 +176,8 @@
     void onExchangeFailed(Reason reason, bool hasSentBytes) override
     {
         const auto self = m_owner.m_attempts.find(m_request.id)->second; // Keeps this object alive.
+        if (hasSentBytes)
+            m_owner.onAnswerLost(*this);
         m_owner.onAttemptEnded(*this, hasSentBytes ? RunOutcome::Failed : RunOutcome::NotConnected);
         reportFailure({ hasSentBytes ? Verdict::MayHaveRun : Verdict::NotRun, reason, hasSentBytes,
                         absl::ZeroDuration() });
@@ -365,6 +373,11 @@
     if (it == m_attempts.end())
         return;
     const auto attempt = it->second;
+    if (m_options.crashHistory.isQuarantined(attempt->request().content, steadyNow())) {
+        refuseAttempt(id, Reason::Quarantined, absl::ZeroDuration());
+        applyGateActions(m_gate.onRunEnded(id, RunOutcome::NotConnected, steadyNow()));
+        return;
+    }
     ++m_startedRequestCount;
     attempt->start(acquireConnection(attempt->request()), encodeRequest(attempt->request()));
 }
@@ -493,6 +506,7 @@
     for (const auto &connection : m_idleConnections)
         connection->close();
     m_idleConnections.clear();
+    reportCrashes();
     applyLifecycleChange(m_lifecycle.onLost(), cause);
 }
 
@@ -533,6 +547,7 @@
     if (m_gateProcessNumber == m_lifecycle.processNumber())
         return;
     m_gateProcessNumber = m_lifecycle.processNumber();
+    reportCrashes();
     m_hasServerNotice = false;
     if (requestLimit()) {
         m_gate.resetRequestLimit();
@@ -541,6 +556,27 @@
     applyRecalledLimit();
 }
 
+ServerProcess BackendServerGate::currentProcess() const
+{
+    return ServerProcess(hashOf(m_lifecycle.id().value(),
+                                static_cast<std::uint64_t>(m_lifecycle.startedUnixMs())));
+}
+
+void BackendServerGate::onAnswerLost(const GateAttempt &attempt)
+{
+    // A server that has drained exits by itself, whatever it still runs.
+    if (m_lifecycle.state() != ServerState::Draining)
+        m_crashDetector.onAnswerLost(attempt.request().content, currentProcess(), steadyNow());
+}
+
+void BackendServerGate::reportCrashes()
+{
+    for (const ServerCrash &crash : m_crashDetector.onServerEnded(steadyNow())) {
+        if (m_options.crashHistory.charge(crash, steadyNow()))
+            m_listener.onServerCrashed(crash);
+    }
+}
+
 void BackendServerGate::recallRequestLimit(const BackendServerId &id, double requestsPerSecond)
 {
     if (m_hasServerNotice)
--- a/packages/node/src/gate/BackendServerGate.h
+++ b/packages/node/src/gate/BackendServerGate.h
@@ -6,6 +6,7 @@
 #include "gate/BackendConnection.h"
 
 #include "godwitlift/serving/Gate.h"
+#include "godwitlift/traffic/CrashDetector.h"
 #include "godwitlift/traffic/FinishTimeSelector.h"
 #include "godwitlift/traffic/ServerLifecycle.h"
 
@@ -35,6 +36,10 @@
     virtual void onRequestLimitChanged() = 0;
     /// The backend server states a request limit that cannot be read.
     virtual void onRequestLimitUnreadable() = 0;
+    /// The backend server ended while it ran a request. Called for each request that it ran.
+    virtual void onServerCrashed(const ServerCrash &crash) = 0;
+    /// The backend server has answered a request under which servers had ended.
+    virtual void onCrashesCleared(ContentDigest content) = 0;
     /// An answer to \p requestId says that the backend server leaves, which was not known. The gate
     /// obeys \p record, which has no copy yet.
     virtual void onLeavingNotice(const std::string &requestId, const DrainRecord &record) = 0;
@@ -52,6 +57,7 @@
         ServiceId service;
         asio::ip::tcp::endpoint address;
         const PlatformProtocol &protocol;
+        CrashHistory &crashHistory; ///< Of the node.
     };
 
     BackendServerGate(asio::io_context &loop, Options options, GateListener &listener);
@@ -107,6 +113,10 @@
     /// Forgets what the gate knows about an earlier process than the current one.
     void resetForNewProcess();
     void applyRecalledLimit();
+    ServerProcess currentProcess() const;
+    void onAnswerLost(const GateAttempt &attempt);
+    /// The process that has run requests until now accepts no connections or has been replaced.
+    void reportCrashes();
     void updateSlots();
     std::shared_ptr<BackendConnection> acquireConnection(const AttemptRequest &request);
     void releaseConnection(const std::shared_ptr<BackendConnection> &connection);
@@ -118,6 +128,7 @@
     std::shared_ptr<const RouteCatalogue> m_catalogue;
     ServerLifecycle m_lifecycle;
     Gate m_gate;
+    CrashDetector m_crashDetector;
     FailureShare m_failures; ///< Over the attempts of all nodes at this backend server.
     /// Queued and running.
     absl::flat_hash_map<AttemptId, std::shared_ptr<GateAttempt>> m_attempts;
--- a/packages/node/src/ingress/IngressCall.cpp
+++ b/packages/node/src/ingress/IngressCall.cpp
@@ -97,6 +97,13 @@
 
 void IngressCall::startFirstAttempt()
 {
+    CrashHistory &crashHistory = m_ingress.m_options.crashHistory;
+    if (!crashHistory.admit(m_content, steadyNow())) {
+        sendFinalAnswer(RetryDecision::Refuse, Reason::Quarantined,
+                        std::max(crashHistory.quarantineLeft(m_content, steadyNow()),
+                                 CrashHistory::TrialInterval));
+        return;
+    }
     const auto choice =
             m_ingress.m_selector.select(m_destination, m_route.id, m_triedHosts, steadyNow());
     if (!choice) {
@@ -252,9 +259,11 @@
 bool IngressCall::tryRetry(const AttemptFailure &failure)
 {
     m_worstVerdict = std::max(m_worstVerdict, failure.verdict);
-    if (decideRetry(makeFailedAttempt(failure)) != RetryDecision::Retry)
-        return false;
     const absl::Time now = steadyNow();
+    if (decideRetry(makeFailedAttempt(failure)) != RetryDecision::Retry
+        || failure.reason == Reason::Quarantined
+        || m_ingress.m_options.crashHistory.isQuarantined(m_content, now))
+        return false;
     auto choice = m_ingress.m_selector.select(m_destination, m_route.id, m_triedHosts, now);
     if (!choice || m_undeliveredAttempts >= UndeliveredAttemptLimit)
         return false;
--- a/packages/node/src/ingress/IngressService.h
+++ b/packages/node/src/ingress/IngressService.h
@@ -9,6 +9,7 @@
 #include "report/RateLimitedLog.h"
 
 #include "godwitlift/traffic/AttemptPolicy.h"
+#include "godwitlift/traffic/CrashHistory.h"
 #include "godwitlift/traffic/FinishTimeSelector.h"
 #include "godwitlift/traffic/RouteCatalogue.h"
 #include "godwitlift/traffic/TrafficSplit.h"
@@ -42,6 +43,7 @@
         HostId ownHost;
         ServiceId ownService; ///< Service of the backend server on this host.
         PlatformHeaderNames headerNames;
+        CrashHistory &crashHistory; ///< Of the node.
         RetryBudgetRule retryRule;
     };
 
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -78,13 +78,15 @@
 
 PeerMesh::PeerMesh(asio::io_context &loop, LinkScheduler &linkScheduler, Options options,
                    StoreClient &store, BackendServerGate &gate, FinishTimeSelector &selector,
-                   RateLimitedLog &log, NodeMetrics &metrics, RandomSource &random)
+                   CrashHistory &crashHistory, RateLimitedLog &log, NodeMetrics &metrics,
+                   RandomSource &random)
     : m_loop(loop)
     , m_linkScheduler(linkScheduler)
     , m_options(std::move(options))
     , m_store(store)
     , m_gate(gate)
     , m_selector(selector)
+    , m_crashHistory(crashHistory)
     , m_log(log)
     , m_metrics(metrics)
     , m_random(random)
@@ -92,10 +94,7 @@
     , m_registrationTimer(loop.get_executor())
     , m_ownGateway(gate, 0)
     , m_drainReplicator(loop, m_options.ownHost.host, store, gate, log, metrics, random,
-                        [this](const mesh::Frame &frame) {
-                            for (const auto &[key, session] : m_sessions)
-                                session->send(frame);
-                        })
+                        [this](const mesh::Frame &frame) { broadcast(frame); })
     , m_registrationDelay(InitialRegistrationDelay)
 {
     m_selector.addHost(m_options.ownHost.host, m_options.ownHost.zone);
@@ -342,11 +341,45 @@
     m_lastReport = makeGateReport();
     m_selector.onGateReport(m_options.ownHost.host, m_lastReport, steadyNow());
     m_lastBroadcastTime = steadyNow();
-    const mesh::Frame frame = encodeGateState(m_lastReport, nodeState());
+    broadcast(encodeGateState(m_lastReport, nodeState()));
+}
+
+void PeerMesh::broadcast(const mesh::Frame &frame)
+{
     for (const auto &[key, session] : m_sessions)
         session->send(frame);
 }
 
+void PeerMesh::broadcastCrash(const ServerCrash &crash)
+{
+    onCrashReported(m_options.ownHost.host, { crash, absl::ZeroDuration() });
+    broadcast(encodeCrash({ crash, absl::ZeroDuration() }));
+}
+
+void PeerMesh::broadcastAnswered(ContentDigest content)
+{
+    m_log.write("crashes-cleared", LogLine("crashes-cleared").add("content", content.value()),
+                steadyNow());
+    mesh::Frame frame;
+    frame.mutable_request_answered()->set_content_digest(content.value());
+    broadcast(frame);
+}
+
+void PeerMesh::onCrashReported(const HostId &host, const AgedCrash &crash)
+{
+    const absl::Time now = steadyNow();
+    m_crashHistory.add(crash, now);
+    m_log.write(
+            "server-crashed",
+            LogLine("server-crashed")
+                    .add("host", host.value())
+                    .add("content", crash.crash.content.value())
+                    .add("process", crash.crash.process.value())
+                    .add("age_ms", crash.age)
+                    .add("quarantine_ms", m_crashHistory.quarantineLeft(crash.crash.content, now)),
+            now);
+}
+
 void PeerMesh::sendGateReport(PeerSession &session)
 {
     session.send(encodeGateState(makeGateReport(), nodeState()));
@@ -518,6 +551,12 @@
                     link.host().host.value()))
             requestConfiguration(link, Version());
         break;
+    case mesh::Frame::kServerCrash:
+        onCrashReported(link.host().host, decodeCrash(frame.server_crash()));
+        break;
+    case mesh::Frame::kRequestAnswered:
+        m_crashHistory.clear(ContentDigest(frame.request_answered().content_digest()));
+        break;
     case mesh::Frame::kDrainNotice:
         link.send(m_drainReplicator.onNotice(link.host().host, frame.drain_notice()));
         break;
@@ -537,6 +576,8 @@
         session.send(makeHello(peer.host));
         for (const mesh::Frame &notice : m_drainReplicator.notices())
             session.send(notice);
+        for (const AgedCrash &crash : m_crashHistory.list(steadyNow()))
+            session.send(encodeCrash(crash));
         sendGateReport(session);
         addHost(peer);
         const auto link = m_links.find(peer.host);
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -33,7 +33,8 @@
 
     PeerMesh(asio::io_context &loop, LinkScheduler &linkScheduler, Options options,
              StoreClient &store, BackendServerGate &gate, FinishTimeSelector &selector,
-             RateLimitedLog &log, NodeMetrics &metrics, RandomSource &random);
+             CrashHistory &crashHistory, RateLimitedLog &log, NodeMetrics &metrics,
+             RandomSource &random);
     ~PeerMesh() override;
 
     /// Must be called before listen().
@@ -47,6 +48,10 @@
     /// Reports the gate to all peers: at once if \p isUrgent, otherwise if its state has changed
     /// significantly and the minimum report interval has passed.
     void reportGateChange(bool isUrgent);
+    /// Tells all peers that this host's backend server ended while it ran a request.
+    void broadcastCrash(const ServerCrash &crash);
+    /// Tells all peers that a request under which servers had ended has been answered.
+    void broadcastAnswered(ContentDigest content);
     DrainReplicator &drainReplicator() { return m_drainReplicator; }
     /// Tells peers that this node shuts down. Deletes its row in the store if \p deletesHostRow,
     /// which is for a host that is not expected to return.
@@ -82,6 +87,8 @@
     NodeState nodeState() const;
     void recordLimitedServer(const HostId &host, const GateReport &report);
     void recallRequestLimit(const mesh::Hello &hello);
+    void broadcast(const mesh::Frame &frame);
+    void onCrashReported(const HostId &host, const AgedCrash &crash);
 
     void onLinkOpened(PeerLink &link) override;
     void onAddressTaken(PeerLink &link, const PeerHost &owner) override;
@@ -99,6 +106,7 @@
     StoreClient &m_store;
     BackendServerGate &m_gate;
     FinishTimeSelector &m_selector;
+    CrashHistory &m_crashHistory;
     RateLimitedLog &m_log;
     NodeMetrics &m_metrics;
     RandomSource &m_random;
--- a/packages/node/src/peers/PeerMessages.cpp
+++ b/packages/node/src/peers/PeerMessages.cpp
@@ -125,6 +125,23 @@
     return head;
 }
 
+mesh::Frame encodeCrash(const AgedCrash &crash)
+{
+    mesh::Frame frame;
+    mesh::ServerCrash &message = *frame.mutable_server_crash();
+    message.set_content_digest(crash.crash.content.value());
+    message.set_process(crash.crash.process.value());
+    message.set_age_ms(static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(absl::ToInt64Milliseconds(crash.age), 0, INT32_MAX)));
+    return frame;
+}
+
+AgedCrash decodeCrash(const mesh::ServerCrash &message)
+{
+    return { { ContentDigest(message.content_digest()), ServerProcess(message.process()) },
+             absl::Milliseconds(message.age_ms()) };
+}
+
 mesh::RequestLimit encodeRequestLimit(const RequestLimitReport &report)
 {
     mesh::RequestLimit message;
--- a/packages/node/src/peers/PeerMessages.h
+++ b/packages/node/src/peers/PeerMessages.h
@@ -6,6 +6,7 @@
 #include "mesh.pb.h"
 
 #include "godwitlift/traffic/ConfigurationReplica.h"
+#include "godwitlift/traffic/CrashHistory.h"
 #include "godwitlift/traffic/FinishTimeSelector.h"
 #include "godwitlift/traffic/TransitDelayEstimator.h"
 
@@ -45,6 +46,9 @@
     std::uint32_t linkMbps = 0; ///< 0 is unknown.
 };
 
+mesh::Frame encodeCrash(const AgedCrash &crash);
+AgedCrash decodeCrash(const mesh::ServerCrash &message);
+
 mesh::RequestLimit encodeRequestLimit(const RequestLimitReport &report);
 RequestLimitReport decodeRequestLimit(const mesh::RequestLimit &message);
 
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -119,16 +119,16 @@
                   })
         , m_gate(m_loop,
                  { m_settings.service, *parseEndpoint(m_settings.backendServerAddress.value()),
-                   protocol },
+                   protocol, m_crashHistory },
                  *this)
         , m_linkScheduler(m_loop, m_settings.linkMbps)
         , m_mesh(m_loop, m_linkScheduler,
                  { { m_settings.host, m_settings.advertisedPeerAddress, m_settings.zone },
                    m_settings.peerAddress,
                    m_settings.linkMbps },
-                 m_store, m_gate, m_selector, m_log, m_metrics, m_random)
+                 m_store, m_gate, m_selector, m_crashHistory, m_log, m_metrics, m_random)
         , m_ingress(m_loop,
-                    { m_settings.host, m_settings.service, protocol.headerNames(),
+                    { m_settings.host, m_settings.service, protocol.headerNames(), m_crashHistory,
                       m_settings.retryRule },
                     m_selector, m_mesh, m_log, m_metrics)
         , m_configurationUpdater(
@@ -272,6 +272,10 @@
                 steadyNow());
     }
 
+    void onServerCrashed(const ServerCrash &crash) override { m_mesh.broadcastCrash(crash); }
+
+    void onCrashesCleared(ContentDigest content) override { m_mesh.broadcastAnswered(content); }
+
     void onLeavingNotice(const std::string &requestId, const DrainRecord &record) override
     {
         m_log.write("leaving-notice",
@@ -446,6 +450,7 @@
     RateLimitedLog m_log;
     NodeMetrics m_metrics;
     FinishTimeSelector m_selector;
+    CrashHistory m_crashHistory;
     StoreClient m_store;
     BackendServerGate m_gate;
     LinkScheduler m_linkScheduler;
--- a/tests/node/RequestPath.h
+++ b/tests/node/RequestPath.h
@@ -57,13 +57,15 @@
     explicit RequestPath(double linkMbps = 0)
         : protocol(createPlatformProtocol())
         , acceptor(loop.get_executor(), loopback(0))
-        , gate(loop, { ServiceId("desk"), acceptor.local_endpoint(), *protocol }, *this)
+        , gate(loop, { ServiceId("desk"), acceptor.local_endpoint(), *protocol, crashHistory },
+               *this)
         , gateway(gate, 0)
         , log(-1, "test")
         , ingress(loop,
                   { HostId("self"),
                     ServiceId("desk"),
                     protocol->headerNames(),
+                    crashHistory,
                     { 0.2, 50, absl::Seconds(10) } },
                   selector, *this, log, metrics)
         , linkScheduler(loop, linkMbps)
@@ -141,6 +143,7 @@
     TcpAcceptor acceptor;
     SeededRandom random{ 3 };
     FinishTimeSelector selector{ random };
+    CrashHistory crashHistory;
     BackendServerGate gate;
     LocalGateway gateway;
     RateLimitedLog log;
@@ -177,6 +180,8 @@
     void onServerStateChanged(std::string_view) override {}
     void onRequestLimitChanged() override {}
     void onRequestLimitUnreadable() override { ++unreadableLimits; }
+    void onServerCrashed(const ServerCrash &) override {}
+    void onCrashesCleared(ContentDigest) override {}
     void onLeavingNotice(const std::string &, const DrainRecord &) override { ++leavingNotices; }
     AttemptGateway *gatewayTo(const HostId &) override { return &gateway; }
     std::size_t nodeCount() const override { return 1; }
--- /dev/null
+++ b/tests/traffic/CrashHistoryTests.cpp
@@ -0,0 +1,113 @@
+/// \file
+/// Requests under which servers crash, over several nodes, late and doubled reports, and restarts.
+#include "godwitlift/traffic/CrashHistory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace godwitlift;
+
+namespace {
+
+const absl::Time Now = absl::UnixEpoch() + absl::Hours(1);
+const ContentDigest Crashing(7);
+const ContentDigest Innocent(8);
+
+ServerCrash crash(std::uint64_t process, ContentDigest content = Crashing)
+{
+    return { content, ServerProcess(process) };
+}
+
+CrashHistory quarantined()
+{
+    CrashHistory history;
+    for (std::uint64_t process = 1; process <= CrashHistory::CrashLimit; ++process)
+        history.charge(crash(process), Now);
+    return history;
+}
+
+} // namespace
+
+TEST_CASE("a request is quarantined by the third server that ends under it, on any host")
+{
+    CrashHistory history;
+    CHECK(history.charge(crash(1), Now));
+    history.add({ crash(2), absl::Milliseconds(20) }, Now);
+    CHECK_FALSE(history.isQuarantined(Crashing, Now));
+    CHECK(history.admit(Crashing, Now));
+    history.add({ crash(3), absl::ZeroDuration() }, Now);
+    CHECK(history.isQuarantined(Crashing, Now));
+    CHECK_FALSE(history.admit(Crashing, Now));
+    CHECK(history.admit(Innocent, Now));
+}
+
+// Guards against counting one crash several times.
+TEST_CASE("a crash that is reported again, or by several peers, counts once")
+{
+    CrashHistory history;
+    for (int i = 0; i < 5; ++i)
+        history.add({ crash(1), absl::Milliseconds(i) }, Now);
+    CHECK_FALSE(history.charge(crash(1), Now));
+    CHECK_FALSE(history.isQuarantined(Crashing, Now));
+}
+
+// Guards against a quarantine that a restarted node does not know.
+TEST_CASE("a node that has just started learns the quarantines of its peers with their age")
+{
+    const CrashHistory peer = quarantined();
+    CrashHistory restarted;
+    const absl::Time later = Now + absl::Seconds(50);
+    for (const AgedCrash &known : peer.list(later))
+        restarted.add(known, later);
+    CHECK(restarted.isQuarantined(Crashing, later));
+    CHECK(restarted.quarantineLeft(Crashing, later) == absl::Seconds(10));
+}
+
+TEST_CASE("an answer clears a request; later crashes begin to count anew")
+{
+    CrashHistory history = quarantined();
+    CHECK(history.onAnswered(Crashing, Now));
+    CHECK(history.admit(Crashing, Now));
+    CHECK_FALSE(history.charge(crash(4), Now + absl::Seconds(1)));
+    CHECK(history.charge(crash(4), Now + CrashHistory::AnswerProtection));
+    CHECK(history.admit(Crashing, Now + CrashHistory::AnswerProtection));
+    CHECK_FALSE(history.onAnswered(Innocent, Now));
+}
+
+// Guards against refusing popular requests after the loss of an availability zone.
+TEST_CASE("a popular request stays served when many servers fall at once")
+{
+    CrashHistory history;
+    history.onAnswered(Innocent, Now - absl::Milliseconds(100));
+    for (std::uint64_t process = 1; process <= 20; ++process)
+        CHECK_FALSE(history.charge(crash(process, Innocent), Now));
+    CHECK(history.admit(Innocent, Now));
+}
+
+// A server's new version may have mended the fault.
+TEST_CASE("after the quarantine single trials are sent, and each further crash doubles it")
+{
+    CrashHistory history = quarantined();
+    const absl::Time end = Now + CrashHistory::InitialQuarantine;
+    CHECK_FALSE(history.admit(Crashing, end - absl::Milliseconds(1)));
+    CHECK(history.admit(Crashing, end));
+    CHECK_FALSE(history.admit(Crashing, end + absl::Seconds(1)));
+    history.charge(crash(4), end);
+    CHECK_FALSE(history.admit(Crashing, end + CrashHistory::InitialQuarantine));
+    CHECK(history.admit(Crashing, end + 2 * CrashHistory::InitialQuarantine));
+    for (std::uint64_t process = 5; process < 40; ++process)
+        history.charge(crash(process), end);
+    CHECK(history.quarantineLeft(Crashing, end) == CrashHistory::MaxQuarantine);
+}
+
+TEST_CASE("many crashing requests use bounded memory, and the latest ones are kept")
+{
+    CrashHistory history;
+    const std::uint64_t count = 10 * CrashHistory::MaxRequests;
+    for (std::uint64_t content = 1; content <= count; ++content) {
+        for (std::uint64_t process = 1; process <= 3; ++process)
+            history.charge(crash(process, ContentDigest(content)),
+                           Now + absl::Milliseconds(content));
+    }
+    CHECK(history.list(Now).size() <= 3 * CrashHistory::MaxRequests);
+    CHECK(history.isQuarantined(ContentDigest(count), Now + absl::Seconds(10)));
+}
