Keep quarantines over a restart of all nodes

Callers would see a request crash servers again, three and more, each time all nodes had restarted together, since peers were the only copy of a quarantine.

Cause: the class of the drain incident, state that only processes hold which may all end at once. The node beside the server that ended now also writes the request's crashes to the store, a row for each quarantined request, until the store has it; a node reads the rows once when it starts. Only crashes from the third on are written. Rows whose quarantine is over are deleted by the next node that reads them. Weighed against a read only when no peer knows an earlier process: one read at a start is cheaper than the decision.

--- a/packages/decisions/include/godwitlift/traffic/CrashHistory.h
+++ b/packages/decisions/include/godwitlift/traffic/CrashHistory.h
@@ -78,6 +78,8 @@
     bool admit(ContentDigest content, absl::Time now);
     /// Time until the request may be tried again; zero if it is not quarantined.
     absl::Duration quarantineLeft(ContentDigest content, absl::Time now) const;
+    /// The crashes of one request; empty if none is known.
+    std::vector<AgedCrash> crashes(ContentDigest content, absl::Time now) const;
     /// All crashes that are known, for a node that has just started.
     std::vector<AgedCrash> list(absl::Time now) const;
 
--- a/packages/decisions/src/traffic/CrashHistory.cpp
+++ b/packages/decisions/src/traffic/CrashHistory.cpp
@@ -94,14 +94,25 @@
     return true;
 }
 
-std::vector<AgedCrash> CrashHistory::list(absl::Time now) const
+std::vector<AgedCrash> CrashHistory::crashes(ContentDigest content, absl::Time now) const
 {
     std::vector<AgedCrash> crashes;
+    const auto it = m_charges.find(content);
+    if (it == m_charges.end())
+        return crashes;
+    for (const ServerProcess process : it->second.processes)
+        crashes.push_back({ { content, process }, now - it->second.lastCrash });
+    return crashes;
+}
+
+std::vector<AgedCrash> CrashHistory::list(absl::Time now) const
+{
+    std::vector<AgedCrash> all;
     for (const auto &[content, charges] : m_charges) {
-        for (const ServerProcess process : charges.processes)
-            crashes.push_back({ { content, process }, now - charges.lastCrash });
+        const std::vector<AgedCrash> some = crashes(content, now);
+        all.insert(all.end(), some.begin(), some.end());
     }
-    return crashes;
+    return all;
 }
 
 } // namespace godwitlift
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -95,6 +95,7 @@
     , m_ownGateway(gate, 0)
     , m_drainReplicator(loop, m_options.ownHost.host, store, gate, log, metrics, random,
                         [this](const mesh::Frame &frame) { broadcast(frame); })
+    , m_quarantineStore(loop, store, crashHistory, log, metrics, random)
     , m_registrationDelay(InitialRegistrationDelay)
 {
     m_selector.addHost(m_options.ownHost.host, m_options.ownHost.zone);
@@ -144,6 +145,7 @@
 void PeerMesh::start()
 {
     m_drainReplicator.start();
+    m_quarantineStore.start();
     listHosts({});
 }
 
@@ -354,6 +356,7 @@
 {
     onCrashReported(m_options.ownHost.host, { crash, absl::ZeroDuration() });
     broadcast(encodeCrash({ crash, absl::ZeroDuration() }));
+    m_quarantineStore.save(crash.content);
 }
 
 void PeerMesh::broadcastAnswered(ContentDigest content)
@@ -363,6 +366,7 @@
     mesh::Frame frame;
     frame.mutable_request_answered()->set_content_digest(content.value());
     broadcast(frame);
+    m_quarantineStore.remove(content);
 }
 
 void PeerMesh::onCrashReported(const HostId &host, const AgedCrash &crash)
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -7,6 +7,7 @@
 #include "peers/DrainReplicator.h"
 #include "peers/PeerLink.h"
 #include "peers/PeerSession.h"
+#include "peers/QuarantineStore.h"
 #include "runtime/ConfigurationUpdater.h"
 #include "store/StoreClient.h"
 
@@ -115,6 +116,7 @@
     LoopTimer m_registrationTimer;
     LocalGateway m_ownGateway;
     DrainReplicator m_drainReplicator;
+    QuarantineStore m_quarantineStore;
     std::map<HostId, std::unique_ptr<PeerLink>> m_links;
     std::map<PeerSession *, std::shared_ptr<PeerSession>> m_sessions;
     std::map<HostId, NodeState> m_peerStates; ///< Latest report on each link that is up.
--- /dev/null
+++ b/packages/node/src/peers/QuarantineStore.cpp
@@ -0,0 +1,207 @@
+/// \file
+/// Rows of quarantined requests.
+#include "peers/QuarantineStore.h"
+
+#include "godwitlift/base/AbslStringView.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace godwitlift {
+
+namespace {
+
+/// Table of the store with a row for each quarantined request.
+constexpr const char *QuarantineTable = "gl-quarantine";
+/// Delay before a call that failed is repeated; the peers know the quarantines meanwhile.
+constexpr absl::Duration RetryDelay = absl::Seconds(1);
+
+std::string encodeNumber(std::uint64_t number)
+{
+    return absl::StrCat(absl::Hex(number, absl::kZeroPad16));
+}
+
+std::optional<std::uint64_t> decodeNumber(const std::string &text)
+{
+    std::uint64_t number = 0;
+    if (!absl::SimpleHexAtoi(text, &number))
+        return std::nullopt;
+    return number;
+}
+
+std::string encodeRow(const std::vector<AgedCrash> &crashes)
+{
+    nlohmann::json processes = nlohmann::json::array();
+    absl::Duration age = absl::InfiniteDuration();
+    for (const AgedCrash &crash : crashes) {
+        processes.push_back(encodeNumber(crash.crash.process.value()));
+        age = std::min(age, crash.age);
+    }
+    return nlohmann::json{
+        { "processes", processes }, { "last_crash_ms", absl::ToUnixMillis(absl::Now() - age) }
+    }.dump();
+}
+
+/// Returns none for a row that is malformed or has another format.
+std::optional<std::vector<AgedCrash>> decodeRow(const StoreRow &row)
+{
+    const auto content = decodeNumber(row.key);
+    const auto value = nlohmann::json::parse(row.value, nullptr, false);
+    if (!content || !value.is_object() || !value.contains("processes")
+        || !value["processes"].is_array() || !value.contains("last_crash_ms")
+        || !value["last_crash_ms"].is_number_integer())
+        return std::nullopt;
+    // A clock that has been set back must not put the crash into the future.
+    const absl::Duration age =
+            std::max(absl::Now() - absl::FromUnixMillis(value["last_crash_ms"].get<std::int64_t>()),
+                     absl::ZeroDuration());
+    std::vector<AgedCrash> crashes;
+    for (const auto &entry : value["processes"]) {
+        const auto process =
+                entry.is_string() ? decodeNumber(entry.get<std::string>()) : std::nullopt;
+        if (!process)
+            return std::nullopt;
+        crashes.push_back({ { ContentDigest(*content), ServerProcess(*process) }, age });
+    }
+    return crashes;
+}
+
+} // namespace
+
+QuarantineStore::QuarantineStore(asio::io_context &loop, StoreClient &store, CrashHistory &history,
+                                 RateLimitedLog &log, NodeMetrics &metrics, RandomSource &random)
+    : m_store(store)
+    , m_history(history)
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_random(random)
+    , m_timer(loop.get_executor())
+{}
+
+void QuarantineStore::start()
+{
+    readRows({});
+}
+
+void QuarantineStore::readRows(const std::string &firstKey)
+{
+    StoreRequest request;
+    request.kind = StoreRequest::Kind::List;
+    request.table = QuarantineTable;
+    request.firstKey = firstKey;
+    m_store.call(std::move(request), [this](const StoreAnswer &answer) { onRowsRead(answer); });
+}
+
+void QuarantineStore::onRowsRead(const StoreAnswer &answer)
+{
+    if (answer.outcome != StoreOutcome::Done) {
+        retryLater();
+        return;
+    }
+    for (const StoreRow &row : answer.rows)
+        addRow(row);
+    if (answer.hasMore && !answer.rows.empty()) {
+        // Appending the smallest key character gives the first possible key after the last row.
+        readRows(answer.rows.back().key + '!');
+        return;
+    }
+    m_areRowsRead = true;
+}
+
+void QuarantineStore::addRow(const StoreRow &row)
+{
+    const auto crashes = decodeRow(row);
+    if (!crashes) {
+        m_metrics.recordUndecodable("quarantine-row");
+        m_log.write("quarantine-row-unreadable",
+                    LogLine("quarantine-row-unreadable").add("key", row.key), steadyNow());
+        return;
+    }
+    const absl::Time now = steadyNow();
+    for (const AgedCrash &crash : *crashes)
+        m_history.add(crash, now);
+    if (crashes->empty())
+        return;
+    const ContentDigest content = crashes->front().crash.content;
+    if (!m_history.isQuarantined(content, now)) {
+        remove(content);
+        return;
+    }
+    m_log.write("quarantine-recalled",
+                LogLine("quarantine-recalled")
+                        .add("content", content.value())
+                        .add("left_ms", m_history.quarantineLeft(content, now)),
+                now);
+}
+
+void QuarantineStore::save(ContentDigest content)
+{
+    if (!m_history.isQuarantined(content, steadyNow()))
+        return;
+    m_unsaved.insert(content);
+    if (!m_isWriting)
+        writeNext();
+}
+
+void QuarantineStore::writeNext()
+{
+    if (m_unsaved.empty())
+        return;
+    const ContentDigest content = *m_unsaved.begin();
+    m_unsaved.erase(m_unsaved.begin());
+    const std::vector<AgedCrash> crashes = m_history.crashes(content, steadyNow());
+    if (crashes.empty()) { // An answer has cleared it meanwhile.
+        writeNext();
+        return;
+    }
+    m_isWriting = true;
+    StoreRequest request;
+    request.kind = StoreRequest::Kind::Put;
+    request.table = QuarantineTable;
+    request.key = encodeNumber(content.value());
+    request.value = encodeRow(crashes);
+    m_store.call(std::move(request),
+                 [this, content](const StoreAnswer &answer) { onRowWritten(content, answer); });
+}
+
+void QuarantineStore::onRowWritten(ContentDigest content, const StoreAnswer &answer)
+{
+    m_isWriting = false;
+    if (answer.outcome != StoreOutcome::Done) {
+        m_unsaved.insert(content);
+        retryLater();
+        return;
+    }
+    writeNext();
+}
+
+void QuarantineStore::remove(ContentDigest content)
+{
+    m_unsaved.erase(content);
+    StoreRequest request;
+    request.kind = StoreRequest::Kind::Remove;
+    request.table = QuarantineTable;
+    request.key = encodeNumber(content.value());
+    // Not retried: a row that stays costs a node that starts one refusal until the next trial.
+    m_store.call(std::move(request), [](const StoreAnswer &) {});
+}
+
+void QuarantineStore::retryLater()
+{
+    expireAfter(m_timer, RetryDelay * (0.5 + m_random.uniformReal()));
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (error)
+            return;
+        if (!m_areRowsRead)
+            readRows({});
+        if (!m_isWriting)
+            writeNext();
+    });
+}
+
+} // namespace godwitlift
--- a/tests/process/drains.py
+++ b/tests/process/drains.py
@@ -1,5 +1,5 @@
-"""Tests with real nodes that an acknowledged drain and a request limit hold, whatever arrives late and
-whatever restarts, and that a stopping node lets requests complete.
+"""Tests with real nodes that an acknowledged drain, a request limit and a quarantine hold, whatever
+arrives late and whatever restarts, and that a stopping node lets requests complete.
 
   drains.py SCENARIO
 
@@ -27,18 +27,20 @@
 # Time in which requests are sent after an acknowledged drain. Longer than a node's tick, its links'
 # reconnect delay and the interval of its reports, so that everything that reopens a gate is seen.
 OBSERVATION_TIME = 3.0
+# Target of a request that ends each server that runs it.
+CRASHING_TARGET = "/look/crash"
 
 
 class Host:
     """A node process and its backend server."""
 
-    def __init__(self, number, folder, executions):
+    def __init__(self, number, folder, executions, crashes):
         self.name = f"host-{number}"
         (self.client_port, self.readiness_port, self.announcement_port, self.peer_port,
          self.metrics_port, self.backend_port) = range(FIRST_PORT + 10 * (number + 1),
                                                        FIRST_PORT + 10 * (number + 1) + 6)
         address = f"127.0.0.1:{self.backend_port}"
-        self.backend = BackendServer(self.name, "desk", address, executions)
+        self.backend = BackendServer(self.name, "desk", address, executions, crashes=crashes)
         self.settings = os.path.join(folder, self.name + ".json")
         self.log = os.path.join(folder, self.name + ".log")
         self.process = None
@@ -94,7 +96,8 @@
     def __init__(self, folder, host_count):
         self.store = Store()
         self.executions = {}
-        self.hosts = [Host(number, folder, self.executions) for number in range(host_count)]
+        self.crashes = {}  # As in BackendServer, of all hosts.
+        self.hosts = [Host(number, folder, self.executions, self.crashes) for number in range(host_count)]
         self.last_request_number = 0
 
     async def start(self):
@@ -114,13 +117,13 @@
             await host.backend.start(host.backend_port)
             host.start()
 
-    async def send_request(self, host, timeout=1):
+    async def send_request(self, host, timeout=1, target="/look/x"):
         """Returns the status of the answer, or None without one within a second after \p timeout."""
         self.last_request_number += 1
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", host.client_port)
             stream = HttpStream(reader, writer)
-            await stream.send_message("GET /look/x HTTP/1.1",
+            await stream.send_message(f"GET {target} HTTP/1.1",
                                       {"Host": "a.example", "X-Deadline-Ms": f"{timeout * 1000}",
                                        "X-Attempt-Id": f"r-{self.last_request_number}"})
             answer = await asyncio.wait_for(stream.read_message(), timeout + 1)
@@ -278,6 +281,58 @@
     assert len(starts) >= limit, f"only {len(starts)} requests at a server that takes {limit} a second"
 
 
+async def crash_servers(deployment):
+    """Sends a request that ends each server that runs it until three have ended, then restarts these."""
+    for host in deployment.hosts:
+        await host.backend.announce(host.announcement_port)
+        await deployment.wait_until_served(host, host.backend.id)
+    for number in range(3):
+        ended = deployment.hosts[number].backend
+        await deployment.send_request(deployment.hosts[number], target=CRASHING_TARGET)
+        for host in deployment.hosts:
+            if host.backend.state == "gone":
+                await host.backend.restart_after_crash()
+                await host.backend.announce(host.announcement_port)
+        if sum(len(runs) for runs in deployment.crashes.values()) >= 3:
+            break
+        await deployment.wait_until_served(deployment.hosts[number], ended.id)
+    assert len(deployment.crashes[CRASHING_TARGET]) >= 3
+    await asyncio.sleep(0.3)
+
+
+async def check_quarantine(deployment):
+    """Requires that no server ends again, whichever host the request arrives at, while others are served."""
+    before = len(deployment.crashes[CRASHING_TARGET])
+    for host in deployment.hosts:
+        for _ in range(3):
+            status = await deployment.send_request(host, target=CRASHING_TARGET)
+            assert status == 503, f"{host.name} answers {status} to a request under which servers ended"
+        await deployment.wait_until_served(host)
+    after = len(deployment.crashes[CRASHING_TARGET])
+    assert after == before, f"{after - before} more servers ended"
+
+
+# Guards against a request that crashes servers again by way of another host (incident crashing-request).
+async def request_that_crashes_servers_at_any_host(deployment):
+    await crash_servers(deployment)
+    await check_quarantine(deployment)
+
+
+# Guards against a quarantine that is forgotten when no node is left that knows it.
+async def request_that_crashes_servers_over_a_restart_of_all_nodes(deployment):
+    await crash_servers(deployment)
+    for host in deployment.hosts:
+        host.kill()
+    for host in deployment.hosts:
+        host.start()
+    for host in deployment.hosts:
+        await wait_until(lambda port=host.announcement_port: can_connect(port), f"start of {host.name}")
+    for host in deployment.hosts:
+        await host.backend.announce(host.announcement_port)
+        await deployment.wait_until_served(host)
+    await check_quarantine(deployment)
+
+
 SCENARIOS = {function.__name__: (function, host_count) for function, host_count in (
     (late_announcement_of_a_deregistered_server_that_was_known_from_its_probe, 1),
     (node_restart_after_deregistration, 1),
@@ -285,7 +340,9 @@
     (acknowledgement_only_after_the_drain_is_recorded, 1),
     (later_process_with_the_id_of_a_drained_one, 1),
     (request_that_ends_shortly_before_the_stop_timeout, 1),
-    (request_limit_over_restarts_of_the_node, 3))}
+    (request_limit_over_restarts_of_the_node, 3),
+    (request_that_crashes_servers_at_any_host, 3),
+    (request_that_crashes_servers_over_a_restart_of_all_nodes, 3))}
 
 
 async def run(scenario, host_count, folder):
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -152,7 +152,7 @@
 class BackendServer:
     """One backend server, which records each execution of a request."""
 
-    def __init__(self, host, service, address, executions, random_source=random):
+    def __init__(self, host, service, address, executions, random_source=random, crashes=None):
         self.host = host
         self.service = service
         self.address = address
@@ -164,6 +164,12 @@
         self.state = "gone"
         self.drained_at = None  # Time at which the drain was acknowledged.
         self.truncation_probability = 0.0
+        # Runs of requests that end the server: target -> [(start, origin of the request)].
+        self.crashes = crashes if crashes is not None else {}
+        self.is_stating_departure = False  # Its answers say that it leaves.
+        self.listener = None
+        self.port = 0
+        self.writers = set()
         self.request_limit = None  # Requests per second that it names in its answers.
         self.names_limit_in_health = True
         self.answer_seconds = None  # If set, requests run for this time.
@@ -177,9 +183,22 @@
         self.sequence = 0
         self.state = "ready"
         self.drained_at = None
+        self.is_stating_departure = False
 
     async def start(self, port):
-        return await asyncio.start_server(self.serve_connection, "127.0.0.1", port)
+        self.port = port
+        self.listener = await asyncio.start_server(self.serve_connection, "127.0.0.1", port)
+
+    def crash(self):
+        """Ends the process: all connections are reset, and new ones refused."""
+        self.state = "gone"
+        self.listener.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def restart_after_crash(self):
+        await self.start(self.port)
+        self.restart()
 
     async def announce(self, announcement_port, state=None, sequence=None):
         """Sends one announcement, by default the next one in the present state; true if it was
@@ -217,10 +236,22 @@
 
     def notice_fields(self):
         """What the server says about itself in each of its answers."""
-        limit = self.request_limit
-        return {} if limit is None else {"Server-Limit": f"{limit:g}"}
+        fields = {}
+        if self.request_limit is not None:
+            fields["Server-Limit"] = f"{self.request_limit:g}"
+        if self.is_stating_departure:
+            fields["Server-Leaving"] = "1"
+            self.drained_at = self.drained_at or time.monotonic()
+        return fields
 
     async def serve_connection(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await self.serve_requests(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    async def serve_requests(self, reader, writer):
         stream = HttpStream(reader, writer)
         try:
             while (message := await stream.read_message()) is not None:
@@ -249,6 +280,11 @@
         request = fields["x-attempt-id"]
         self.executions.setdefault(request, []).append(
             (time.monotonic(), self.id, self.drained_at, target))
+        if target.startswith("/look/crash"):
+            self.crashes.setdefault(target, []).append((time.monotonic(), self.id, request))
+            await asyncio.sleep(0.05)
+            self.crash()
+            return False
         if self.answer_event is not None:
             await self.answer_event.wait()
         elif self.answer_seconds is not None:
