--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -33,6 +33,12 @@
 CONFIGURATION_BOUND = 2.5
 RECOVERY_TIME = 4.0
 STOP_TIMEOUT = 6.0
+# Time after which the fleet must know a limit or a crash, and length of the limit's window.
+STABILITY = 3.0
+LIMIT_WINDOW = 4.0
+# Servers that may end under a request before it counts as crashing, and runs allowed after that.
+CRASH_LIMIT = 3
+CRASH_RETRIES = 3
 # Faults by profile; repeated ones are more frequent.
 PROFILES = {
     "all": ["kill", "kill", "pause", "term", "term", "hup", "reset", "silence", "cut", "delay",
@@ -41,6 +47,10 @@
     # Backend servers that leave while nodes restart, announcements are late and copies are lost.
     "drains": ["drain"] * 6 + ["kill", "kill", "herd", "term", "pause", "silence", "cut", "store",
                                "store", "store-cut", "crash"],
+    # Backend servers that name limits, leave by header, and crash on one request.
+    "notices": ["limit"] * 4 + ["leave"] * 2 + ["crash-request"] * 4
+               + ["kill", "kill", "herd", "term", "pause", "silence", "cut", "store", "store-cut",
+                  "crash", "drain"],
 }
 
 
@@ -58,7 +68,7 @@
         self.service = SERVICES[number % 2]
         self.address = f"127.0.0.1:{self.backend_port}"
         self.backend = BackendServer(self.name, self.service, self.address, soak.executions,
-                                     soak.random)
+                                     soak.random, soak.crashes)
         self.peer_proxy = Proxy(self.peer_port)
         self.store_proxy = Proxy(STORE_PORT)
         self.process = None
@@ -116,6 +126,9 @@
         self.injected_violation = injected_violation
         self.folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
         self.executions = {}
+        self.crashes = {}  # As in BackendServer, of all hosts.
+        self.senders = {}  # request id -> (host that it was sent to, time)
+        self.limit_periods = []  # (backend server id, limit, begin, end)
         self.violations = []
         self.status_counts = {}
         self.events = []
@@ -159,6 +172,7 @@
         self.last_request_number += 1
         request = f"{self.seed:x}-{self.last_request_number}"
         sent = time.monotonic()
+        self.senders[request] = (host, sent)
         try:
             await stream.send_message(f"{method} {target} HTTP/1.1",
                                       {"Host": "a.example", "X-Attempt-Id": request,
@@ -215,6 +229,34 @@
                                           f"{start - drained_at:.2f} s after its drain "
                                           "was acknowledged")
 
+    def is_in_touch(self, request, since):
+        """Whether the host that the request was sent to has had no fault for a while at \p since."""
+        host, _ = self.senders[request]
+        return host.faults_until + STABILITY < since
+
+    def check_limits(self):
+        for server, limit, begin, end in self.limit_periods:
+            starts = sorted(start for request, executions in self.executions.items()
+                            for start, id, _, _ in executions
+                            if id == server and begin + STABILITY <= start <= end)
+            allowed = 1.5 * limit * LIMIT_WINDOW + 5
+            for first in starts:
+                count = sum(first <= start < first + LIMIT_WINDOW for start in starts)
+                if count > allowed:
+                    self.record_violation("limit", f"{server} got {count} requests in {LIMIT_WINDOW:g} s "
+                                          f"at a limit of {limit} a second; allowed {allowed:g}")
+                    break
+
+    def check_crashes(self):
+        for target, runs in self.crashes.items():
+            if len(runs) <= CRASH_LIMIT:
+                continue
+            known = runs[CRASH_LIMIT - 1][0] + STABILITY
+            late = [run for run in runs if run[0] > known and self.is_in_touch(run[2], run[0])]
+            if len(late) > CRASH_RETRIES:
+                self.record_violation("crashing request", f"{target} ended {len(runs)} servers, "
+                                      f"{len(late)} of them {STABILITY:g} s after the third")
+
     async def run_client(self):
         """Sends up to 40 requests on a connection to a random host, then connects to another."""
         while not self.is_stopping:
@@ -375,6 +417,54 @@
                 await host.backend.announce(host.announcement_port, state="ready",
                                             sequence=draw.randint(1, last_sequence))
 
+    async def fault_limit(self, host, duration):
+        backend, limit = host.backend, self.drain_random.choice([2, 5, 10, 20])
+        if backend.state != "ready" or backend.request_limit is not None:
+            return
+        server, begin = backend.id, time.monotonic()
+        backend.request_limit = limit
+        while time.monotonic() < begin + 3 + 2 * duration and backend.id == server \
+                and not self.is_stopping:
+            await asyncio.sleep(0.05)
+        self.limit_periods.append((server, limit, begin, time.monotonic()))
+        backend.request_limit = None
+
+    # The backend server leaves and says so in its answers only.
+    async def fault_leave(self, host, duration):
+        backend = host.backend
+        if backend.state != "ready":
+            return
+        backend.is_stating_departure = True
+        await asyncio.sleep(DRAIN_BOUND + duration)
+        if backend.state == "ready" and backend.is_stating_departure:
+            backend.state = "gone"
+            await asyncio.sleep(0.3)
+            backend.restart()
+
+    # A request that ends each server that runs it comes again at several hosts.
+    async def fault_crash_request(self, host, duration):
+        number = self.drain_random.randint(1, 3)
+        until = time.monotonic() + 2 * STABILITY + duration
+        while time.monotonic() < until and not self.is_stopping:
+            other = self.drain_random.choice(self.hosts)
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", other.client_port)
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            await self.send_request(other, HttpStream(reader, writer), f"/look/crash-{number}", "GET",
+                                    b"")
+            writer.close()
+            await asyncio.sleep(self.drain_random.uniform(0, 0.3))
+
+    async def restart_crashed_server(self, host):
+        """Starts the backend server again some time after a request has ended it."""
+        while not self.is_stopping:
+            if not host.backend.listener.is_serving():
+                await asyncio.sleep(self.drain_random.uniform(0.5, 2))
+                await host.backend.restart_after_crash()
+            await asyncio.sleep(0.05)
+
     async def fault_crash(self, host, duration):
         if host.backend.state != "ready":
             return
@@ -427,13 +517,14 @@
         servers = [await self.store.start(STORE_PORT)]
         self.publish()
         for host in self.hosts:
-            servers.append(await host.backend.start(host.backend_port))
+            await host.backend.start(host.backend_port)
             servers.append(await host.peer_proxy.start(host.peer_proxy_port))
             servers.append(await host.store_proxy.start(host.store_proxy_port))
             host.write_settings()
             host.start()
         tasks = [asyncio.create_task(self.announce_periodically(host)) for host in self.hosts]
         tasks += [asyncio.create_task(self.restart_after_exit(host)) for host in self.hosts]
+        tasks += [asyncio.create_task(self.restart_crashed_server(host)) for host in self.hosts]
         await asyncio.sleep(2)
         tasks += [asyncio.create_task(self.run_client()) for _ in range(3 * len(self.hosts))]
         await self.inject_faults()
@@ -441,13 +532,15 @@
         await asyncio.sleep(3)
         self.is_stopping = True
         self.check_drains()
+        self.check_limits()
+        self.check_crashes()
         for host in self.hosts:
             host.signal(signal.SIGKILL)
             host.process.wait()
             host.log.close()
         for task in tasks:
             task.cancel()
-        for server in servers:
+        for server in servers + [host.backend.listener for host in self.hosts]:
             server.close()
 
 
