Never charge requests without a content digest with a crash

During an upgrade, callers behind nodes of the version before would have been refused: such nodes send no digest, so that all their requests count as one, and three servers that end by any cause would quarantine all of them.

Found by reading the change; no run has shown it. "requests without a digest are never charged" guards it.

--- a/packages/decisions/include/godwitlift/traffic/CrashDetector.h
+++ b/packages/decisions/include/godwitlift/traffic/CrashDetector.h
@@ -22,7 +22,9 @@
     /// longer counts as the cause of a lost answer.
     static constexpr absl::Duration ConfirmationTime = absl::Seconds(10);
 
-    /// The server \p process sent no complete answer to a request that it had received.
+    /// The server \p process sent no complete answer to a request that it had received. Ignored
+    /// without a digest: nodes of earlier versions send none, so that all their requests would
+    /// count as one.
     void onAnswerLost(ContentDigest content, ServerProcess process, absl::Time now);
     /// The server answers a request that began at \p started.
     void onAnswer(absl::Time started);
--- a/packages/decisions/src/traffic/CrashDetector.cpp
+++ b/packages/decisions/src/traffic/CrashDetector.cpp
@@ -6,6 +6,8 @@
 
 void CrashDetector::onAnswerLost(ContentDigest content, ServerProcess process, absl::Time now)
 {
+    if (content == ContentDigest())
+        return;
     m_lostAnswers.push_back({ { content, process }, now });
 }
 
--- a/packages/node/src/gate/BackendServerGate.cpp
+++ b/packages/node/src/gate/BackendServerGate.cpp
@@ -80,7 +80,6 @@
     AttemptId sourceAttemptId() const { return LocalGateway::sourceAttemptId(m_request.id); }
     const std::shared_ptr<BackendConnection> &connection() const { return m_connection; }
     bool isRunning() const { return m_connection != nullptr; }
-    absl::Time startTime() const { return m_started; }
 
     void start(std::shared_ptr<BackendConnection> connection, std::string text)
     {
--- a/packages/node/src/gate/BackendServerGate.h
+++ b/packages/node/src/gate/BackendServerGate.h
@@ -140,8 +140,8 @@
     std::uint64_t m_startedRequestCount = 0;
     /// The lowest recalled request limit of each server; empty once the current process answers.
     std::map<BackendServerId, double> m_recalledLimits;
-    bool m_hasServerNotice =
-            false; ///< The current process has stated its limit, or that it has none.
+    /// The current process has stated its request limit, or that it has none.
+    bool m_hasServerNotice = false;
 };
 
 /// Passes the attempts of one source, such as the ingress or a peer's session, to the gate of the
--- a/tests/traffic/CrashHistoryTests.cpp
+++ b/tests/traffic/CrashHistoryTests.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// Requests under which servers crash, over several nodes, late and doubled reports, and restarts.
+#include "godwitlift/traffic/CrashDetector.h"
 #include "godwitlift/traffic/CrashHistory.h"
 
 #include <catch2/catch.hpp>
@@ -111,3 +112,37 @@
     CHECK(history.list(Now).size() <= 3 * CrashHistory::MaxRequests);
     CHECK(history.isQuarantined(ContentDigest(count), Now + absl::Seconds(10)));
 }
+
+TEST_CASE(
+        "a server ended under the requests that it had not answered, if it answers none after them")
+{
+    CrashDetector detector;
+    detector.onAnswerLost(Crashing, ServerProcess(1), Now);
+    SECTION("it accepts no connection")
+    {
+        CHECK(detector.onServerEnded(Now) == std::vector<ServerCrash>{ crash(1) });
+        CHECK(detector.onServerEnded(Now).empty());
+    }
+    SECTION("another request that began earlier is still answered")
+    {
+        detector.onAnswer(Now - absl::Milliseconds(1));
+        CHECK(detector.onServerEnded(Now).size() == 1);
+    }
+    SECTION("a request that began later is answered")
+    {
+        detector.onAnswer(Now + absl::Milliseconds(1));
+        CHECK(detector.onServerEnded(Now).empty());
+    }
+    SECTION("it ends much later")
+    {
+        CHECK(detector.onServerEnded(Now + absl::Minutes(1)).empty());
+    }
+}
+
+// Guards against the quarantine of all requests of a node that sends no digest, during an upgrade.
+TEST_CASE("requests without a digest are never charged")
+{
+    CrashDetector detector;
+    detector.onAnswerLost(ContentDigest(), ServerProcess(1), Now);
+    CHECK(detector.onServerEnded(Now).empty());
+}
