Report gates often only to callers and probe idle links rarely

Cause: each node told its gate to all others at least twice a second and pinged each of them every 0.6 s, so that messages grew with the square of the fleet.

Change: ReportSchedule gives load reports to peers that called within 3 s and a refresh in 2 s to the others, each at a time of its own; a new version is announced at once to the own zone only. LinkProbe pings idle links every 1.8 s and links in use every 0.6 s; the first request on an idle link makes a ping due at once.

Excluded: fewer reports to everybody (callers would choose by older loads).

--- /dev/null
+++ b/packages/decisions/src/traffic/LinkProbe.cpp
@@ -0,0 +1,21 @@
+/// \file
+/// Intervals of pings and detection of a failed connection.
+#include "godwitlift/traffic/LinkProbe.h"
+
+#include <algorithm>
+
+namespace godwitlift {
+
+void LinkProbe::onPingSent(absl::Time now)
+{
+    m_lastPing = now;
+    m_unansweredSince = std::min(m_unansweredSince, now);
+}
+
+bool LinkProbe::isPingDue(absl::Time now) const
+{
+    const bool isUsed = now - m_lastUse < UseExpiry;
+    return now - m_lastPing >= (isUsed ? UsedInterval : IdleInterval);
+}
+
+} // namespace godwitlift
--- /dev/null
+++ b/packages/decisions/src/traffic/ReportSchedule.cpp
@@ -0,0 +1,38 @@
+/// \file
+/// Intervals of gate reports.
+#include "godwitlift/traffic/ReportSchedule.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace godwitlift {
+
+bool ReportSchedule::areCallersDue(const GateReport &report, std::size_t callerCount,
+                                   absl::Time now) const
+{
+    const absl::Duration elapsed = now - m_lastReportTime;
+    if (elapsed >= MaxCallerInterval)
+        return true;
+    const double change = std::abs(static_cast<double>(report.running) + report.queued
+                                   - m_lastReport.running - m_lastReport.queued);
+    const bool isSignificant =
+            report.acceptsRequests != m_lastReport.acceptsRequests
+            || change >= SignificantChange * std::max(report.slots, 1U)
+            || std::abs(report.failureShare - m_lastReport.failureShare) >= SignificantChange;
+    return isSignificant
+           && elapsed >= std::max(MinCallerInterval,
+                                  IntervalPerCaller * static_cast<double>(callerCount));
+}
+
+void ReportSchedule::onCallersReported(const GateReport &report, absl::Time now)
+{
+    m_lastReport = report;
+    m_lastReportTime = now;
+}
+
+void ReportSchedule::onReported(ReportRecipient &recipient, absl::Time now)
+{
+    recipient.nextRefresh = now + RefreshInterval * (0.75 + 0.5 * m_random.uniformReal());
+}
+
+} // namespace godwitlift
--- a/packages/node/src/peers/PeerLink.cpp
+++ b/packages/node/src/peers/PeerLink.cpp
@@ -13,9 +13,6 @@
 /// The delay before a reconnection doubles with each failure up to the maximum.
 constexpr absl::Duration InitialReconnectDelay = absl::Milliseconds(100);
 constexpr absl::Duration MaxReconnectDelay = absl::Seconds(1);
-constexpr absl::Duration PingInterval = absl::Milliseconds(600);
-/// Time without a hello or pong after which the connection is closed: three unanswered pings.
-constexpr absl::Duration PongTimeout = absl::Milliseconds(2000);
 
 } // namespace
 
@@ -91,7 +88,7 @@
             std::make_shared<FrameChannel>(m_loop, m_linkScheduler, std::move(m_connectingSocket),
                                            static_cast<FrameObserver &>(*this));
     m_connectingSocket = TcpSocket(m_loop.get_executor());
-    m_lastAnswerTime = steadyNow();
+    m_probe.onConnected(steadyNow());
     m_channel->start();
     if (m_channel != nullptr)
         m_channel->send(m_observer.makeHello(m_host.host));
@@ -120,12 +117,12 @@
 {
     if (m_channel == nullptr)
         return;
-    if (now - m_lastAnswerTime > PongTimeout) {
+    if (m_probe.hasFailed(now)) {
         dropChannel("silent");
         return;
     }
-    if (m_isUp && now - m_lastPingTime >= PingInterval) {
-        m_lastPingTime = now;
+    if (m_isUp && m_probe.isPingDue(now)) {
+        m_probe.onPingSent(now);
         mesh::Frame frame;
         frame.mutable_ping();
         m_channel->send(frame);
@@ -181,13 +178,13 @@
             return;
         }
         m_isUp = true;
-        m_lastAnswerTime = steadyNow();
+        m_probe.onAnswer();
         m_reconnectDelay = InitialReconnectDelay;
         m_observer.onLinkOpened(*this);
         m_observer.onLinkFrame(*this, frame);
         break;
     case mesh::Frame::kPong:
-        m_lastAnswerTime = steadyNow();
+        m_probe.onAnswer();
         break;
     case mesh::Frame::kGateState:
         m_observer.onGateReport(*this, decodeGateReport(frame.gate_state()));
@@ -235,8 +232,10 @@
                                                   absl::ZeroDuration() });
         return;
     }
+    const absl::Time now = steadyNow();
     m_attemptObservers[request.id.value()] = std::move(observer);
-    m_channel->send(encodeAttemptRequest(request, steadyNow()));
+    m_probe.onUsed(now);
+    m_channel->send(encodeAttemptRequest(request, now));
 }
 
 void PeerLink::cancel(AttemptId id)
--- a/packages/node/src/peers/PeerLink.h
+++ b/packages/node/src/peers/PeerLink.h
@@ -6,6 +6,8 @@
 #include "peers/FrameChannel.h"
 #include "peers/PeerMessages.h"
 
+#include "godwitlift/traffic/LinkProbe.h"
+
 #include <absl/container/flat_hash_map.h>
 
 #include <memory>
@@ -34,9 +36,9 @@
 
 /// Keeps one connection to one peer, reconnects with exponential backoff, and carries attempts.
 ///
-/// The link sends pings and closes the connection if no pong arrives: gate reports that still
-/// arrive do not show that frames reach the peer. When the connection is lost, every open attempt
-/// fails as one that may have run.
+/// The link sends pings, as LinkProbe decides, and closes the connection if no pong arrives: gate
+/// reports that still arrive do not show that frames reach the peer. When the connection is lost,
+/// every open attempt fails as one that may have run.
 class PeerLink final : public AttemptGateway, private FrameObserver
 {
 public:
@@ -80,8 +82,7 @@
     absl::flat_hash_map<std::uint64_t, std::weak_ptr<AttemptObserver>> m_attemptObservers;
     bool m_isUp = false; ///< True once the hello of the peer has arrived.
     bool m_isConnecting = false;
-    absl::Time m_lastPingTime = absl::InfinitePast();
-    absl::Time m_lastAnswerTime; ///< When the connection was made, or hello or pong last arrived.
+    LinkProbe m_probe;
     absl::Duration m_reconnectDelay;
     absl::Time m_downSince;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< False after destruction.
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -16,19 +16,6 @@
 
 /// Table of the store with the hosts.
 constexpr const char *HostTable = "gl-hosts";
-/// Minimum interval between two reports of a changing gate: the larger of the constant and the
-/// interval per peer times the peers, so that reports use a bounded share of a slow link. A report
-/// takes about 130 bytes per peer with headers, so 4 ms per peer amount to 33 KB/s.
-constexpr absl::Duration MinReportInterval = absl::Milliseconds(100);
-constexpr absl::Duration ReportIntervalPerPeer = absl::Milliseconds(4);
-/// Maximum interval between two reports, even if nothing changes. Peers detect a lost connection by
-/// pings, not by missing reports.
-constexpr absl::Duration MaxReportInterval = absl::Milliseconds(500);
-/// Smallest change that is reported before the maximum interval ends: in running and queued
-/// attempts as a share of the slots, or in the failure share.
-constexpr double SignificantChange = 0.1;
-/// Time without received data after which a session is closed. Peers send a ping every 0.6 s.
-constexpr absl::Duration SessionTimeout = absl::Seconds(3);
 /// The delay before a registration retry doubles with each failure up to the maximum.
 constexpr absl::Duration InitialRegistrationDelay = absl::Milliseconds(200);
 constexpr absl::Duration MaxRegistrationDelay = absl::Seconds(1);
@@ -96,6 +83,7 @@
     , m_drainReplicator(loop, m_options.ownHost.host, store, gate, log, metrics, random,
                         [this](const mesh::Frame &frame) { broadcast(frame); })
     , m_quarantineStore(loop, store, crashHistory, log, metrics, random)
+    , m_reportSchedule(random)
     , m_registrationDelay(InitialRegistrationDelay)
 {
     m_selector.addHost(m_options.ownHost.host, m_options.ownHost.zone);
@@ -287,10 +275,10 @@
     for (const HostId &host : unreachable)
         removeHost(host, "out-of-reach");
     closeTimedOutSessions(now);
-    if (now - m_lastBroadcastTime >= MaxReportInterval)
-        broadcastGateReport();
-    else
-        reportGateChange(false);
+    // Nodes of the zone elect the watchers of the store by this state.
+    const bool isStoreFailing = m_configurationUpdater->isStoreFailing();
+    reportGate(isStoreFailing == m_wasStoreFailing ? ReportAudience::Due : ReportAudience::Zone);
+    m_wasStoreFailing = isStoreFailing;
     m_drainReplicator.tick();
     updateWatchRole();
     requestNewerConfiguration();
@@ -300,7 +288,7 @@
 {
     std::vector<std::shared_ptr<PeerSession>> timedOut;
     for (const auto &[key, session] : m_sessions) {
-        if (now - session->lastReceiveTime() > SessionTimeout)
+        if (now - session->lastReceiveTime() > LinkProbe::SilenceLimit)
             timedOut.push_back(session);
     }
     for (const auto &session : timedOut) {
@@ -314,20 +302,33 @@
     }
 }
 
-void PeerMesh::reportGateChange(bool isUrgent)
+void PeerMesh::reportGate(ReportAudience audience)
 {
+    const absl::Time now = steadyNow();
     const GateReport report = makeGateReport();
-    m_selector.onGateReport(m_options.ownHost.host, report, steadyNow());
-    const double change = std::abs(static_cast<double>(report.running + report.queued)
-                                   - m_lastReport.running - m_lastReport.queued);
-    const bool isSignificant =
-            report.acceptsRequests != m_lastReport.acceptsRequests
-            || change >= SignificantChange * std::max(report.slots, 1U)
-            || std::abs(report.failureShare - m_lastReport.failureShare) >= SignificantChange;
-    const absl::Duration interval = std::max(
-            MinReportInterval, ReportIntervalPerPeer * static_cast<double>(m_sessions.size()));
-    if (isUrgent || (isSignificant && steadyNow() - m_lastBroadcastTime >= interval))
-        broadcastGateReport();
+    m_selector.onGateReport(m_options.ownHost.host, report, now);
+    const auto callerCount = static_cast<std::size_t>(
+            std::count_if(m_sessions.begin(), m_sessions.end(), [now](const auto &entry) {
+                return ReportSchedule::isCaller(entry.second->reportRecipient(), now);
+            }));
+    const bool areCallersDue = audience == ReportAudience::All
+                               || m_reportSchedule.areCallersDue(report, callerCount, now);
+    std::optional<mesh::Frame> frame;
+    for (const auto &[key, session] : m_sessions) {
+        ReportRecipient &recipient = session->reportRecipient();
+        const bool isAddressed = audience == ReportAudience::All
+                                 || (audience == ReportAudience::Zone
+                                     && session->peerZone() == m_options.ownHost.zone)
+                                 || (areCallersDue && ReportSchedule::isCaller(recipient, now));
+        if (!isAddressed && !ReportSchedule::isRefreshDue(recipient, now))
+            continue;
+        if (!frame)
+            frame = encodeGateState(report, nodeState());
+        session->send(*frame);
+        m_reportSchedule.onReported(recipient, now);
+    }
+    if (areCallersDue)
+        m_reportSchedule.onCallersReported(report, now);
 }
 
 GateReport PeerMesh::makeGateReport() const
@@ -338,14 +339,6 @@
     return report;
 }
 
-void PeerMesh::broadcastGateReport()
-{
-    m_lastReport = makeGateReport();
-    m_selector.onGateReport(m_options.ownHost.host, m_lastReport, steadyNow());
-    m_lastBroadcastTime = steadyNow();
-    broadcast(encodeGateState(m_lastReport, nodeState()));
-}
-
 void PeerMesh::broadcast(const mesh::Frame &frame)
 {
     for (const auto &[key, session] : m_sessions)
@@ -387,6 +380,7 @@
 void PeerMesh::sendGateReport(PeerSession &session)
 {
     session.send(encodeGateState(makeGateReport(), nodeState()));
+    m_reportSchedule.onReported(session.reportRecipient(), steadyNow());
 }
 
 mesh::Frame PeerMesh::makeHello(const HostId &host)
@@ -574,7 +568,7 @@
     switch (frame.content_case()) {
     case mesh::Frame::kHello: {
         const PeerHost peer = decodeHost(frame.hello().self());
-        session.setPeer(peer.host);
+        session.setPeer(peer.host, peer.zone);
         m_drainReplicator.onHello(peer.host, frame.hello());
         recallRequestLimit(frame.hello());
         session.send(makeHello(peer.host));
@@ -609,7 +603,7 @@
 {
     m_isShuttingDown = true;
     m_registrationTimer.cancel();
-    broadcastGateReport();
+    reportGate(ReportAudience::All);
     if (deletesHostRow)
         deleteHostRow(m_options.ownHost.host);
 }
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -11,6 +11,8 @@
 #include "runtime/ConfigurationUpdater.h"
 #include "store/StoreClient.h"
 
+#include "godwitlift/traffic/ReportSchedule.h"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -46,9 +48,8 @@
     bool listen(std::string &error);
     void start();
     void tick();
-    /// Reports the gate to all peers: at once if \p isUrgent, otherwise if its state has changed
-    /// significantly and the minimum report interval has passed.
-    void reportGateChange(bool isUrgent);
+    /// Reports the gate to \p audience, and to the peers that are due for a report.
+    void reportGate(ReportAudience audience);
     /// Tells all peers that this host's backend server ended while it ran a request.
     void broadcastCrash(const ServerCrash &crash);
     /// Tells all peers that a request under which servers had ended has been answered.
@@ -75,7 +76,6 @@
     void removeHost(const HostId &host, std::string_view cause);
     /// Report of this host's gate, with the bandwidth and backlog of the host's link.
     GateReport makeGateReport() const;
-    void broadcastGateReport();
     void closeTimedOutSessions(absl::Time now);
     void sendGateReport(PeerSession &session);
     void requestConfiguration(PeerLink &link, Version aboveVersion);
@@ -128,8 +128,8 @@
     absl::Time m_largeTransferEnd = absl::InfinitePast();
     /// Since when a peer has had a newer version of the configuration.
     absl::Time m_behindSince = absl::InfiniteFuture();
-    GateReport m_lastReport;
-    absl::Time m_lastBroadcastTime = absl::InfinitePast();
+    ReportSchedule m_reportSchedule;
+    bool m_wasStoreFailing = false;       ///< As last told to the peers of the zone.
     std::uint32_t m_nextSourceNumber = 1; ///< 0 is this node's own ingress.
     bool m_isRegistered = false;
     bool m_isShuttingDown = false;
--- a/packages/node/src/peers/PeerSession.cpp
+++ b/packages/node/src/peers/PeerSession.cpp
@@ -46,6 +46,7 @@
     switch (frame.content_case()) {
     case mesh::Frame::kOpenRequest:
         m_attempts.insert(frame.open_request().attempt());
+        m_reportRecipient.lastRequest = steadyNow();
         m_gateway.open(
                 decodeAttemptRequest(frame.open_request(), steadyNow(), m_transitDelayEstimator),
                 weak_from_this());
--- a/packages/node/src/peers/PeerSession.h
+++ b/packages/node/src/peers/PeerSession.h
@@ -6,6 +6,8 @@
 #include "peers/FrameChannel.h"
 #include "peers/PeerMessages.h"
 
+#include "godwitlift/traffic/ReportSchedule.h"
+
 #include <absl/container/flat_hash_set.h>
 
 #include <memory>
@@ -39,7 +41,14 @@
     void send(const mesh::Frame &frame) { m_channel->send(frame); }
     absl::Time lastReceiveTime() const { return m_channel->lastReceiveTime(); }
     const HostId &peer() const { return m_peer; }
-    void setPeer(HostId peer) { m_peer = std::move(peer); }
+    const ZoneId &peerZone() const { return m_peerZone; }
+    void setPeer(HostId peer, ZoneId zone)
+    {
+        m_peer = std::move(peer);
+        m_peerZone = std::move(zone);
+    }
+    /// When the peer last called and gets its next report.
+    ReportRecipient &reportRecipient() { return m_reportRecipient; }
     bool hasUnfinishedAnswers() const
     {
         return !m_attempts.empty() || m_channel->hasUnsentFrames();
@@ -63,6 +72,8 @@
     absl::flat_hash_set<std::uint64_t> m_attempts;
     TransitDelayEstimator m_transitDelayEstimator;
     HostId m_peer; ///< Empty until the hello of the peer has arrived.
+    ZoneId m_peerZone;
+    ReportRecipient m_reportRecipient;
 };
 
 } // namespace godwitlift
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -214,12 +214,12 @@
         m_gate.setCatalogue(catalogue);
         m_ingress.setCatalogue(std::move(catalogue));
         m_readinessService.setReady(!m_isShuttingDown);
-        m_mesh.reportGateChange(true);
+        m_mesh.reportGate(ReportAudience::Zone);
     }
 
     void onGateStateChanged(bool isUrgent) override
     {
-        m_mesh.reportGateChange(isUrgent);
+        m_mesh.reportGate(isUrgent ? ReportAudience::All : ReportAudience::Due);
         if (m_gate.hasQueuedAttempts() && !m_isQueueCheckScheduled)
             scheduleQueueCheck();
     }
