Choose among four sampled hosts, those of the own zone first

Cause: each ingress took the best of all hosts by reports that are up to half a second old. All have much the same view, so that requests crowded at the few hosts that had looked idle, and four in five went to another zone.

Change: four random hosts are compared. One of the own zone is taken if it has a fifth of its slots free and is as fast as others; only then the other zones are looked at.

--- a/bench/DispatchBench.cpp
+++ b/bench/DispatchBench.cpp
@@ -22,14 +22,19 @@
     app.add_option("--shed", shedShares, "Shares of requests that servers shed");
     app.add_option("--hosts", scenario.hostCount, "Hosts");
     app.add_option("--pause-ms", reportIntervalMs, "Milliseconds between two reports of a gate");
+    app.add_flag("--scheduled-reports", scenario.usesReportSchedule,
+                 "Gates report often only to recent callers");
+    app.add_option("--zones", scenario.zoneCount, "Availability zones");
+    app.add_option("--slots", scenario.slots, "Slots of a backend server");
     app.add_option("--limit-floor", scenario.minSlotShare,
                    "Share of the slots that remain usable despite shedding");
     app.add_option("--turned-away", scenario.gateRefusalLimit,
                    "Refusals by gates before the client is refused");
     CLI11_PARSE(app, argc, argv);
     scenario.reportInterval = absl::Milliseconds(reportIntervalMs);
-    std::cout << "| load | shed | in time | late | refused | gate refusals a request | p99 ms |\n"
-                 "|---|---|---|---|---|---|---|\n";
+    std::cout << "| load | shed | in time | late | refused | gate refusals a request | p99 ms | "
+                 "reports a host and s | across zones |\n"
+                 "|---|---|---|---|---|---|---|---|---|\n";
     for (const double shed : shedShares) {
         for (const double load : loads) {
             DispatchResult sum;
@@ -43,15 +48,23 @@
                 sum.late += result.late;
                 sum.refused += result.refused;
                 sum.gateRefusals += result.gateRefusals;
+                sum.reports += result.reports;
+                sum.attempts += result.attempts;
+                sum.crossZoneAttempts += result.crossZoneAttempts;
                 sum.p99 += result.p99 / seeds;
             }
             const auto share = [&](std::uint64_t count) {
                 return static_cast<double>(count) / static_cast<double>(sum.offered);
             };
-            std::cout << absl::StrFormat("| %.2f | %.2f | %.3f | %.3f | %.3f | %.3f | %d |\n", load,
-                                         shed, share(sum.inTime), share(sum.late),
-                                         share(sum.refused), share(sum.gateRefusals),
-                                         absl::ToInt64Milliseconds(sum.p99));
+            std::cout << absl::StrFormat(
+                    "| %.2f | %.2f | %.3f | %.3f | %.3f | %.3f | %d | %.0f | %.3f |\n", load, shed,
+                    share(sum.inTime), share(sum.late), share(sum.refused), share(sum.gateRefusals),
+                    absl::ToInt64Milliseconds(sum.p99),
+                    static_cast<double>(sum.reports)
+                            / (seeds * static_cast<double>(scenario.hostCount)
+                               * absl::ToDoubleSeconds(scenario.duration)),
+                    static_cast<double>(sum.crossZoneAttempts)
+                            / static_cast<double>(std::max<std::uint64_t>(sum.attempts, 1)));
         }
     }
     return 0;
--- a/packages/decisions/include/godwitlift/traffic/FinishTimeSelector.h
+++ b/packages/decisions/include/godwitlift/traffic/FinishTimeSelector.h
@@ -61,7 +61,8 @@
     absl::Duration expectedLatency; ///< Time until the answer, from now.
 };
 
-/// Ranks the hosts of a service by expected finish time. Not thread-safe.
+/// Compares a few random hosts of a service by expected finish time, those of the own zone first.
+/// Not thread-safe.
 ///
 /// Service times are estimated from answers: each route has a mean over all servers, and each
 /// server a ratio to that mean. A server that fails, by attempts of this node or by the report of
@@ -84,7 +85,7 @@
     /// Updates the load of a host between two reports.
     void onLoadReport(const HostId &host, const GateLoadReport &report);
 
-    /// The best host that is not in \p tried, or none if no other host of \p service accepts
+    /// A good host that is not in \p tried, or none if no other host of \p service accepts
     /// requests.
     std::optional<SelectedHost> select(const ServiceId &service, const RouteId &route,
                                        const std::set<HostId> &tried, absl::Time now);
@@ -126,6 +127,19 @@
         double meanBytes = 0;
     };
 
+    struct Candidate
+    {
+        const HostId *id = nullptr;
+        Host *host = nullptr; ///< Null if there is no candidate.
+        double score = 0;     ///< Expected seconds until the answer, with penalties.
+    };
+
+    /// Reorders \p candidates.
+    Candidate bestOfSample(std::vector<Candidate> &candidates, const RouteStatistics &route,
+                           bool isMajorityFailing, absl::Time now) const;
+    /// True if \p host is good enough for other zones not to be considered.
+    bool isFreeAndFast(const Host &host, const RouteStatistics &route) const;
+    static double meanServiceSeconds(const RouteStatistics &route);
     bool isCandidate(const Host &host, const ServiceId &service) const;
     /// Requests that run or wait at \p host: those last reported and those of this node since then.
     double estimatedDemand(const Host &host) const;
--- a/packages/decisions/src/traffic/FinishTimeSelector.cpp
+++ b/packages/decisions/src/traffic/FinishTimeSelector.cpp
@@ -25,6 +25,13 @@
 constexpr double CrossZoneSeconds = 0.004;
 /// Mean answer size from which answers are paced on slow links.
 constexpr double LargeAnswerBytes = 8192;
+/// Hosts that are compared for a request. All ingresses have similar, outdated views: if each chose
+/// the best of many hosts, requests would crowd at the same few until the next reports.
+constexpr std::size_t SampleSize = 4;
+/// A host of the own zone is taken without looking at other zones while it has this share of its
+/// slots occupied at most and is expected to finish within this multiple of the mean service time.
+constexpr double FreeShare = 0.8;
+constexpr double FastRatio = 1.5;
 /// Spread of the random factor on the expected finish time; prevents all ingresses from selecting
 /// the same host on the same reports.
 constexpr double ScoreJitter = 0.1;
@@ -106,11 +113,15 @@
                     static_cast<double>(host.ownInFlight));
 }
 
+double FinishTimeSelector::meanServiceSeconds(const RouteStatistics &route)
+{
+    return route.meanSeconds == 0 ? DefaultServiceSeconds : route.meanSeconds;
+}
+
 double FinishTimeSelector::finishSeconds(const Host &host, const RouteStatistics &route) const
 {
     const double slots = std::max<std::uint32_t>(host.report.slots, 1);
-    const double meanSeconds = route.meanSeconds == 0 ? DefaultServiceSeconds : route.meanSeconds;
-    const double serviceSeconds = meanSeconds * host.serviceTimeRatio;
+    const double serviceSeconds = meanServiceSeconds(route) * host.serviceTimeRatio;
     const double demand = estimatedDemand(host);
     const double utilization = std::min(demand / slots, 1.0);
     const double wait = demand >= slots ? (demand + 1 - slots) / slots : 0;
@@ -172,36 +183,61 @@
                                                        const std::set<HostId> &tried,
                                                        absl::Time now)
 {
-    std::size_t candidates = 0;
-    std::size_t failing = 0;
-    for (const auto &[id, host] : m_hosts) {
+    std::size_t candidateCount = 0;
+    std::size_t failingCount = 0;
+    std::vector<Candidate> local;
+    std::vector<Candidate> all;
+    for (auto &[id, host] : m_hosts) {
         if (!isCandidate(host, service))
             continue;
-        ++candidates;
-        failing += failureShare(host) >= FailureShare::FailingThreshold ? 1 : 0;
+        ++candidateCount;
+        failingCount += failureShare(host) >= FailureShare::FailingThreshold ? 1 : 0;
+        if (tried.contains(id))
+            continue;
+        all.push_back({ &id, &host });
+        if (host.zone == m_ownZone)
+            local.push_back(all.back());
     }
-    const bool isMajorityFailing = failing * 2 > candidates;
+    const bool isMajorityFailing = failingCount * 2 > candidateCount;
     const RouteStatistics statistics = m_routes[route];
-    const HostId *best = nullptr;
-    Host *bestHost = nullptr;
-    double bestScore = 0;
-    for (auto &[id, host] : m_hosts) {
-        if (!isCandidate(host, service) || tried.contains(id))
-            continue;
-        const double jitter = 1 + ScoreJitter * m_random.uniformReal();
-        const double score = finishSeconds(host, statistics) * jitter
-                             + failurePenalty(host, isMajorityFailing, now);
-        if (best == nullptr || score < bestScore) {
-            best = &id;
-            bestHost = &host;
-            bestScore = score;
-        }
+    Candidate best = bestOfSample(local, statistics, isMajorityFailing, now);
+    if (best.host == nullptr || !isFreeAndFast(*best.host, statistics)
+        || failurePenalty(*best.host, isMajorityFailing, now) > 0) {
+        if (best.host != nullptr)
+            std::erase_if(all, [&](const Candidate &other) { return other.host == best.host; });
+        const Candidate other = bestOfSample(all, statistics, isMajorityFailing, now);
+        if (best.host == nullptr || (other.host != nullptr && other.score < best.score))
+            best = other;
     }
-    if (best == nullptr)
+    if (best.host == nullptr)
         return std::nullopt;
-    if (failureShare(*bestHost) >= FailureShare::FailingThreshold)
-        bestHost->lastProbe = now;
-    return SelectedHost{ *best, absl::Seconds(finishSeconds(*bestHost, statistics)) };
+    if (failureShare(*best.host) >= FailureShare::FailingThreshold)
+        best.host->lastProbe = now;
+    return SelectedHost{ *best.id, absl::Seconds(finishSeconds(*best.host, statistics)) };
+}
+
+FinishTimeSelector::Candidate FinishTimeSelector::bestOfSample(std::vector<Candidate> &candidates,
+                                                               const RouteStatistics &route,
+                                                               bool isMajorityFailing,
+                                                               absl::Time now) const
+{
+    Candidate best;
+    for (std::size_t i = 0; i < std::min(SampleSize, candidates.size()); ++i) {
+        std::swap(candidates[i], candidates[i + m_random.uniformBelow(candidates.size() - i)]);
+        Candidate candidate = candidates[i];
+        const double jitter = 1 + ScoreJitter * m_random.uniformReal();
+        candidate.score = finishSeconds(*candidate.host, route) * jitter
+                          + failurePenalty(*candidate.host, isMajorityFailing, now);
+        if (best.host == nullptr || candidate.score < best.score)
+            best = candidate;
+    }
+    return best;
+}
+
+bool FinishTimeSelector::isFreeAndFast(const Host &host, const RouteStatistics &route) const
+{
+    return estimatedDemand(host) < FreeShare * host.report.slots
+           && finishSeconds(host, route) <= FastRatio * meanServiceSeconds(route);
 }
 
 std::size_t FinishTimeSelector::availableHostCount(const ServiceId &service) const
--- a/tests/support/DispatchModel.cpp
+++ b/tests/support/DispatchModel.cpp
@@ -13,7 +13,6 @@
 
 const ServiceId Desk("desk");
 const RouteId Lookup("lookup");
-const ZoneId North("north");
 const absl::Time Start = absl::UnixEpoch() + absl::Hours(1);
 /// Bounds of the retry-after time in the refusals of an ingress.
 constexpr absl::Duration MinRetryAfter = absl::Milliseconds(50);
@@ -45,10 +44,12 @@
 
 struct DispatchModel::Server
 {
-    explicit Server(const DispatchScenario &scenario)
+    Server(const DispatchScenario &scenario, RandomSource &random)
         : gate(SlotLimit(scenario.slots, Start - absl::Hours(1), absl::ZeroDuration(),
                          scenario.minSlotShare),
                {}, QueueDiscipline::OnTimeFirst)
+        , reportSchedule(random)
+        , recipients(scenario.hostCount)
         , reportsRequestLimit(scenario.reportsRequestLimits)
     {}
 
@@ -73,18 +74,20 @@
     }
 
     Gate gate;
+    ReportSchedule reportSchedule;
+    std::vector<ReportRecipient> recipients; ///< By ingress.
     bool reportsRequestLimit;
     double serviceTimeRatio = 1;
 };
 
 struct DispatchModel::Ingress
 {
-    explicit Ingress(const DispatchScenario &scenario, std::uint64_t seed)
+    Ingress(const DispatchScenario &scenario, std::uint64_t seed, const ZoneId &ownZone)
         : random(seed)
         , selector(random)
         , budget(scenario.retryRule)
     {
-        selector.setOwnZone(North);
+        selector.setOwnZone(ownZone);
     }
 
     SeededRandom random;
@@ -99,10 +102,10 @@
     , m_end(Start + scenario.duration)
 {
     for (std::size_t i = 0; i < scenario.hostCount; ++i) {
-        m_servers.push_back(std::make_unique<Server>(scenario));
+        m_servers.push_back(std::make_unique<Server>(scenario, m_random));
         m_servers.back()->serviceTimeRatio =
                 1 + scenario.serviceTimeSpread * (2 * m_random.uniformReal() - 1);
-        m_ingresses.push_back(std::make_unique<Ingress>(scenario, m_random.next()));
+        m_ingresses.push_back(std::make_unique<Ingress>(scenario, m_random.next(), zoneOf(i)));
     }
     const double usualRate =
             scenario.utilization * scenario.slots / absl::ToDoubleSeconds(scenario.meanServiceTime);
@@ -112,7 +115,7 @@
         m_servers[i]->gate.setRequestLimit(scenario.requestLimitShare * usualRate, m_now);
     for (const auto &ingress : m_ingresses) {
         for (std::size_t i = 0; i < scenario.hostCount; ++i) {
-            ingress->selector.addHost(hostId(i), North);
+            ingress->selector.addHost(hostId(i), zoneOf(i));
             ingress->selector.onGateReport(hostId(i), m_servers[i]->report(i, m_now), m_now);
         }
     }
@@ -120,6 +123,11 @@
 
 DispatchModel::~DispatchModel() = default;
 
+ZoneId DispatchModel::zoneOf(std::size_t host) const
+{
+    return ZoneId(absl::StrCat("zone-", host % m_scenario.zoneCount));
+}
+
 void DispatchModel::schedule(absl::Duration delay, std::function<void()> action)
 {
     m_events.push({ m_now + delay, ++m_lastId, std::move(action) });
@@ -128,8 +136,12 @@
 DispatchResult DispatchModel::run()
 {
     for (std::size_t i = 0; i < m_servers.size(); ++i)
-        schedule(m_scenario.reportInterval * m_random.uniformReal(),
-                 [this, i] { broadcastReport(i); });
+        schedule(m_scenario.reportInterval * m_random.uniformReal(), [this, i] {
+            if (m_scenario.usesReportSchedule)
+                sendScheduledReports(i);
+            else
+                broadcastReport(i);
+        });
     schedule(absl::ZeroDuration(), [this] { onArrival(); });
     while (!m_events.empty()) {
         const Event event = m_events.top();
@@ -175,11 +187,14 @@
             request->server = i;
     }
     ingress.selector.onAttemptSent(choice->host, Lookup);
+    ++m_result.attempts;
+    m_result.crossZoneAttempts += zoneOf(request->server) == zoneOf(request->ingress) ? 0 : 1;
     schedule(m_scenario.networkDelay, [this, request] { submitToGate(request->server, request); });
 }
 
 void DispatchModel::submitToGate(std::size_t server, const std::shared_ptr<Request> &request)
 {
+    m_servers[server]->recipients[request->ingress].lastRequest = m_now;
     request->attemptId = ++m_lastId;
     m_requestsAtGates[request->attemptId] = request;
     GateRequest gateRequest;
@@ -274,12 +289,43 @@
 void DispatchModel::broadcastReport(std::size_t server)
 {
     const GateReport report = m_servers[server]->report(server, m_now);
-    schedule(m_scenario.networkDelay, [this, server, report] {
-        for (const auto &ingress : m_ingresses)
-            ingress->selector.onGateReport(hostId(server), report, m_now);
-    });
+    for (std::size_t ingress = 0; ingress < m_ingresses.size(); ++ingress)
+        sendReport(server, ingress, report);
     if (m_now < m_end)
         schedule(m_scenario.reportInterval, [this, server] { broadcastReport(server); });
 }
 
+void DispatchModel::sendReport(std::size_t server, std::size_t ingress, const GateReport &report)
+{
+    ++m_result.reports;
+    schedule(m_scenario.networkDelay, [this, server, ingress, report] {
+        m_ingresses[ingress]->selector.onGateReport(hostId(server), report, m_now);
+    });
+}
+
+void DispatchModel::sendScheduledReports(std::size_t server)
+{
+    Server &sender = *m_servers[server];
+    const GateReport report = sender.report(server, m_now);
+    const auto callerCount = static_cast<std::size_t>(
+            std::count_if(sender.recipients.begin(), sender.recipients.end(),
+                          [this](const ReportRecipient &recipient) {
+                              return ReportSchedule::isCaller(recipient, m_now);
+                          }));
+    const bool areCallersDue = sender.reportSchedule.areCallersDue(report, callerCount, m_now);
+    for (std::size_t ingress = 0; ingress < m_ingresses.size(); ++ingress) {
+        ReportRecipient &recipient = sender.recipients[ingress];
+        if (!(areCallersDue && ReportSchedule::isCaller(recipient, m_now))
+            && !ReportSchedule::isRefreshDue(recipient, m_now))
+            continue;
+        sendReport(server, ingress, report);
+        sender.reportSchedule.onReported(recipient, m_now);
+    }
+    if (areCallersDue)
+        sender.reportSchedule.onCallersReported(report, m_now);
+    if (m_now < m_end)
+        schedule(ReportSchedule::MinCallerInterval,
+                 [this, server] { sendScheduledReports(server); });
+}
+
 } // namespace godwitlift
--- a/tests/support/DispatchModel.h
+++ b/tests/support/DispatchModel.h
@@ -6,6 +6,7 @@
 #include "godwitlift/base/RandomSource.h"
 #include "godwitlift/serving/Gate.h"
 #include "godwitlift/traffic/FinishTimeSelector.h"
+#include "godwitlift/traffic/ReportSchedule.h"
 #include "godwitlift/traffic/WindowedRetryBudget.h"
 
 #include <functional>
@@ -20,6 +21,7 @@
 struct DispatchScenario
 {
     std::size_t hostCount = 53;       ///< Each has an ingress and a backend server.
+    std::size_t zoneCount = 1;        ///< Hosts are spread evenly over the zones.
     std::uint32_t slots = 18;         ///< Per backend server.
     double utilization = 0.6;         ///< Offered load relative to the slots of all servers.
     double serviceTimeSpread = 0.3;   ///< Service time ratios of servers lie within 1 +- this.
@@ -31,7 +33,9 @@
     absl::Duration objective = absl::Seconds(1);
     absl::Duration deadline = absl::Seconds(3);
     absl::Duration reportInterval = absl::Milliseconds(340); ///< Between two reports of a gate.
-    absl::Duration networkDelay = absl::Milliseconds(3);     ///< One-way delay between hosts.
+    /// Gates report by ReportSchedule, and not to all ingresses at reportInterval.
+    bool usesReportSchedule = false;
+    absl::Duration networkDelay = absl::Milliseconds(3); ///< One-way delay between hosts.
     absl::Duration duration = absl::Seconds(20);
     std::uint32_t gateRefusalLimit = 3; ///< Refusals by gates before the client is refused.
     double minSlotShare = 0.8;          ///< Share of the slots that remain usable despite shedding.
@@ -47,7 +51,10 @@
     std::uint64_t late = 0;
     std::uint64_t refused = 0; ///< After the retry of the client if its deadline allowed one.
     std::uint64_t gateRefusals = 0;
-    absl::Duration p99; ///< Latency of answered requests.
+    std::uint64_t attempts = 0;
+    std::uint64_t crossZoneAttempts = 0; ///< Of these, to a host of another zone than the ingress.
+    std::uint64_t reports = 0; ///< Messages from gates to ingresses, without those in answers.
+    absl::Duration p99;        ///< Latency of answered requests.
 };
 
 /// Simulates one scenario. Clients retry once after a refusal, at the stated retry-after time.
@@ -74,6 +81,7 @@
         }
     };
 
+    ZoneId zoneOf(std::size_t host) const;
     void schedule(absl::Duration delay, std::function<void()> action);
     void onArrival();
     void sendAttempt(const std::shared_ptr<Request> &request);
@@ -83,6 +91,8 @@
     void onAttemptEnded(const std::shared_ptr<Request> &request, AttemptOutcome outcome,
                         absl::Duration service, absl::Duration retryAfter);
     void broadcastReport(std::size_t server);
+    void sendScheduledReports(std::size_t server);
+    void sendReport(std::size_t server, std::size_t ingress, const GateReport &report);
     absl::Duration sampleServiceTime(std::size_t server);
 
     DispatchScenario m_scenario;
--- a/tests/traffic/DispatchTests.cpp
+++ b/tests/traffic/DispatchTests.cpp
@@ -87,3 +87,47 @@
         CHECK(inTimeShare(scenario) > loweredLimit);
     }
 }
+
+// Load: 121 servers and as many ingresses, which all get the same reports. If each ingress takes
+// the best of all servers, requests crowd at the few that looked idle in the last reports.
+TEST_CASE("herding on outdated reports: a busy fleet keeps its requests in time")
+{
+    for (const std::uint64_t seed : { 1, 2 }) {
+        CAPTURE(seed);
+        DispatchScenario scenario;
+        scenario.hostCount = 121;
+        scenario.zoneCount = 5;
+        scenario.slots = 15;
+        scenario.utilization = 0.8;
+        scenario.usesReportSchedule = true;
+        scenario.duration = absl::Seconds(8);
+        scenario.seed = seed;
+        const DispatchResult result = DispatchModel(scenario).run();
+        const auto offered = static_cast<double>(result.offered);
+        // A fifth of all slots is free, so that 1 in 100 requests may wait for too long.
+        CHECK(static_cast<double>(result.late + result.refused) <= 0.02 * offered);
+        CHECK(static_cast<double>(result.gateRefusals) <= 0.01 * offered);
+    }
+}
+
+// Load: half of the slots of every zone are free.
+TEST_CASE("nearest zone first: requests stay in their zone while nobody waits there")
+{
+    for (const std::size_t hostCount : { 20, 60 }) {
+        CAPTURE(hostCount);
+        DispatchScenario scenario = smallFleet();
+        scenario.hostCount = hostCount;
+        scenario.zoneCount = 4;
+        scenario.utilization = 0.5;
+        scenario.usesReportSchedule = true;
+        const DispatchResult nearest = DispatchModel(scenario).run();
+        scenario.zoneCount = 1;
+        const DispatchResult anywhere = DispatchModel(scenario).run();
+        CHECK(static_cast<double>(nearest.crossZoneAttempts)
+              <= 0.1 * static_cast<double>(nearest.attempts));
+        // Staying in the zone must not cost callers more than 1 in 200 answers in time.
+        CHECK(static_cast<double>(nearest.inTime) / static_cast<double>(nearest.offered)
+              >= static_cast<double>(anywhere.inTime) / static_cast<double>(anywhere.offered)
+                         - 0.005);
+    }
+}
