Watch the store from one node in each zone while zones reach each other

Change: one watcher a zone; the watchers of the other zones stand in for it, since nodes ask other zones for a version that their own does not have after 0.6 s. A zone that reaches no other zone with the store keeps two.

Test that fails before: "a zone that reaches others has one watcher, and two while no other zone reaches the store". The test of a zone's watchers keeps its checks for a zone that reaches no other.

--- a/packages/decisions/include/godwitlift/traffic/WatcherElection.h
+++ b/packages/decisions/include/godwitlift/traffic/WatcherElection.h
@@ -13,18 +13,20 @@
 struct WatcherCandidate
 {
     HostId host;
+    ZoneId zone;
     bool isStoreFailing = false; ///< The node gets no answers from the store.
     std::uint32_t linkMbps = 0;  ///< Bandwidth of its host's link; 0 if unknown.
 };
 
-/// Nodes of a zone that watch the store at the same time. The second one takes over while the first
+/// Nodes that watch the store at the same time, at least. The second one takes over while the first
 /// is suspended, or has failed without being detected yet.
-inline constexpr std::size_t WatchersPerZone = 2;
+inline constexpr std::size_t MinWatchers = 2;
 
-/// True if \p self is a watcher. \p peers are the other nodes of its zone that it can reach. No
-/// consensus is needed: with different views, more nodes than necessary watch, and an isolated node
-/// watches for itself. Nodes that the store answers rank first, then those with the fastest links,
-/// since watchers read full versions and forward them.
+/// True if \p self is a watcher. \p peers are the other nodes that it can reach, of all zones. Each
+/// zone has one watcher; those of other zones stand in for it. A zone that reaches no other has
+/// MinWatchers. No consensus is needed: with different views, more nodes than necessary watch, and
+/// an isolated node watches for itself. Nodes that the store answers rank first, then those with
+/// the fastest links, since watchers read full versions and forward them.
 bool isWatcher(const WatcherCandidate &self, const std::vector<WatcherCandidate> &peers);
 
 } // namespace godwitlift
--- a/packages/decisions/src/traffic/WatcherElection.cpp
+++ b/packages/decisions/src/traffic/WatcherElection.cpp
@@ -4,7 +4,6 @@
 
 #include "godwitlift/base/Hashing.h"
 
-#include <algorithm>
 #include <tuple>
 
 namespace godwitlift {
@@ -16,9 +15,16 @@
                                hashOf(candidate.host.value()), candidate.host);
     };
     const auto ownRank = rank(self);
-    const auto rankedBefore = std::count_if(peers.begin(), peers.end(),
-                                            [&](const auto &peer) { return rank(peer) < ownRank; });
-    return static_cast<std::size_t>(rankedBefore) < WatchersPerZone;
+    std::size_t rankedBefore = 0;
+    bool reachesOtherZone = false;
+    for (const WatcherCandidate &peer : peers) {
+        if (peer.zone != self.zone)
+            // A zone without the store cannot stand in for this one.
+            reachesOtherZone = reachesOtherZone || !peer.isStoreFailing;
+        else if (rank(peer) < ownRank)
+            ++rankedBefore;
+    }
+    return rankedBefore < (reachesOtherZone ? 1 : MinWatchers);
 }
 
 } // namespace godwitlift
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -521,13 +521,13 @@
     std::vector<WatcherCandidate> peers;
     for (const auto &[host, state] : m_peerStates) {
         const auto link = m_links.find(host);
-        if (link != m_links.end() && link->second->isUp() && !state.isShuttingDown
-            && link->second->host().zone == m_options.ownHost.zone)
-            peers.push_back({ host, state.isStoreFailing, state.linkMbps });
+        if (link != m_links.end() && link->second->isUp() && !state.isShuttingDown)
+            peers.push_back(
+                    { host, link->second->host().zone, state.isStoreFailing, state.linkMbps });
     }
     m_configurationUpdater->setWatching(
-            isWatcher({ m_options.ownHost.host, m_configurationUpdater->isStoreFailing(),
-                        m_options.linkMbps },
+            isWatcher({ m_options.ownHost.host, m_options.ownHost.zone,
+                        m_configurationUpdater->isStoreFailing(), m_options.linkMbps },
                       peers));
 }
 
