Read the store less when the whole system starts for the first time

Change: the settings tell of a first start. The node then creates its row on the condition that there is none, which proves that no earlier process left a drain, lists the hosts once, and leaves the configuration to its zone's watcher for some seconds. If the row exists, it starts like any other.

Tests with real nodes: first_start_makes_few_store_calls; restart_after_deregistration_during_a_first_start guards the case that a node restarts under settings that still tell of a first start.

--- a/packages/decisions/include/godwitlift/traffic/ConfigurationWatch.h
+++ b/packages/decisions/include/godwitlift/traffic/ConfigurationWatch.h
@@ -42,11 +42,20 @@
     static constexpr absl::Duration InitialBackoff = absl::Milliseconds(200);
     static constexpr absl::Duration MaxBackoff = absl::Milliseconds(500);
 
+    /// Delay of the first read when the whole system starts for the first time: until then nodes
+    /// have found each other, and one of each zone reads the store.
+    static constexpr absl::Duration FirstStartDelay = absl::Seconds(1);
+    /// Time after which a node without a configuration reads the store although another node
+    /// watches it.
+    static constexpr absl::Duration DelegatedReadDelay = absl::Seconds(3);
+
     explicit ConfigurationWatch(RandomSource &random)
         : m_random(random)
     {}
 
-    WatchRequest firstRequest() const { return {}; }
+    WatchRequest firstRequest(bool isFirstStart) const;
+    /// \p request as sent by a node that has no configuration while another node watches.
+    WatchRequest delegatedRequest(WatchRequest request) const;
     /// \p revision is the newest revision of the store at the time of its answer; ignored for
     /// HistoryGone and Failed.
     WatchRequest onResult(WatchResult result, std::uint64_t revision);
--- a/packages/decisions/src/traffic/ConfigurationWatch.cpp
+++ b/packages/decisions/src/traffic/ConfigurationWatch.cpp
@@ -6,6 +6,21 @@
 
 namespace godwitlift {
 
+WatchRequest ConfigurationWatch::firstRequest(bool isFirstStart) const
+{
+    WatchRequest request;
+    if (isFirstStart)
+        request.delay = FirstStartDelay;
+    return request;
+}
+
+WatchRequest ConfigurationWatch::delegatedRequest(WatchRequest request) const
+{
+    request.longPollTimeout = absl::ZeroDuration();
+    request.delay = std::max(request.delay, DelegatedReadDelay * (0.5 + m_random.uniformReal()));
+    return request;
+}
+
 WatchRequest ConfigurationWatch::onResult(WatchResult result, std::uint64_t revision)
 {
     WatchRequest request;
--- a/packages/node/include/godwitlift/node/MeshSettings.h
+++ b/packages/node/include/godwitlift/node/MeshSettings.h
@@ -28,6 +28,7 @@
                                    ///< NAT.
     Address metricsAddress;
     Address storeAddress;
+    bool isFirstStart = false; ///< The whole system starts for the first time.
     std::size_t descriptorLimit = 1024;
     std::uint32_t linkMbps = 0;          ///< Bandwidth of the host's link; 0 is unknown.
     absl::Duration announcementInterval; ///< Between two announcements of the backend server.
--- a/packages/node/src/peers/DrainReplicator.cpp
+++ b/packages/node/src/peers/DrainReplicator.cpp
@@ -87,10 +87,17 @@
 
 void DrainReplicator::start()
 {
-    m_gate.awaitDrainRecall();
     readRow();
 }
 
+void DrainReplicator::startWithoutRow()
+{
+    m_isRowCurrent = true;
+    m_replication.onStoreRead();
+    updateRecall();
+    writeRow();
+}
+
 void DrainReplicator::tick()
 {
     const absl::Time now = steadyNow();
--- a/packages/node/src/peers/DrainReplicator.h
+++ b/packages/node/src/peers/DrainReplicator.h
@@ -34,8 +34,10 @@
                     BackendServerGate &gate, RateLimitedLog &log, NodeMetrics &metrics,
                     RandomSource &random, Broadcast broadcast);
 
-    /// Begins to read the records of an earlier process of this node.
+    /// Begins to read the records of an earlier process of this node. The gate awaits them already.
     void start();
+    /// For a node that has no earlier process, and so no row.
+    void startWithoutRow();
     /// Answers callers that have waited for ReplicationTimeout.
     void tick();
     /// Sends \p record, which the gate already obeys, to the store and the peers. Calls \p done
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -130,11 +130,36 @@
     });
 }
 
-void PeerMesh::start()
+void PeerMesh::start(bool isFirstStart)
+{
+    m_gate.awaitDrainRecall();
+    if (isFirstStart) {
+        createHostRow();
+        return;
+    }
+    recallFromStore();
+    listHosts({});
+}
+
+void PeerMesh::recallFromStore()
 {
     m_drainReplicator.start();
     m_quarantineStore.start();
-    listHosts({});
+}
+
+void PeerMesh::createHostRow()
+{
+    StoreRequest request = makeHostRowRequest();
+    request.expectedRevision = 0; // The row must not exist.
+    m_store.call(std::move(request), [this](const StoreAnswer &answer) {
+        if (answer.outcome == StoreOutcome::Done) {
+            m_drainReplicator.startWithoutRow();
+            onRegistered(answer);
+            return;
+        }
+        recallFromStore();
+        listHosts({});
+    });
 }
 
 void PeerMesh::listHosts(const std::string &firstKey)
@@ -180,22 +205,30 @@
     writeHostRow();
 }
 
-void PeerMesh::writeHostRow()
+StoreRequest PeerMesh::makeHostRowRequest() const
 {
     StoreRequest request;
     request.kind = StoreRequest::Kind::Put;
     request.table = HostTable;
     request.key = m_options.ownHost.host.value();
     request.value = encodeHostRow(m_options.ownHost);
-    m_store.call(std::move(request), [this](const StoreAnswer &answer) {
-        if (answer.outcome != StoreOutcome::Done) {
+    return request;
+}
+
+void PeerMesh::onRegistered(const StoreAnswer &answer)
+{
+    m_isRegistered = true;
+    m_log.write("registered", LogLine("registered").add("revision", answer.revision), steadyNow());
+    listHosts({});
+}
+
+void PeerMesh::writeHostRow()
+{
+    m_store.call(makeHostRowRequest(), [this](const StoreAnswer &answer) {
+        if (answer.outcome == StoreOutcome::Done)
+            onRegistered(answer);
+        else
             scheduleRegistrationRetry();
-            return;
-        }
-        m_isRegistered = true;
-        m_log.write("registered", LogLine("registered").add("revision", answer.revision),
-                    steadyNow());
-        listHosts({});
     });
 }
 
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -46,7 +46,9 @@
         m_configurationUpdater = &updater;
     }
     bool listen(std::string &error);
-    void start();
+    /// If the whole system starts for the first time, nothing is recalled from the store once this
+    /// host's row has been created.
+    void start(bool isFirstStart);
     void tick();
     /// Reports the gate to \p audience, and to the peers that are due for a report.
     void reportGate(ReportAudience audience);
@@ -67,7 +69,13 @@
 
 private:
     void acceptNext();
+    /// Creates this host's row and then lists all rows. If the row exists, an earlier process has
+    /// written it and may have left drains.
+    void createHostRow();
+    void recallFromStore();
     void writeHostRow();
+    StoreRequest makeHostRowRequest() const;
+    void onRegistered(const StoreAnswer &answer);
     void listHosts(const std::string &firstKey);
     void onHostsListed(const StoreAnswer &answer);
     void scheduleRegistrationRetry();
--- a/packages/node/src/runtime/ConfigurationUpdater.cpp
+++ b/packages/node/src/runtime/ConfigurationUpdater.cpp
@@ -24,9 +24,10 @@
     , m_timer(loop.get_executor())
 {}
 
-void ConfigurationUpdater::start()
+void ConfigurationUpdater::start(bool isFirstStart)
 {
-    m_nextRequest = m_watch.firstRequest();
+    m_nextRequest = m_watch.firstRequest(isFirstStart);
+    m_mayDelegate = isFirstStart;
     scheduleRequest(m_nextRequest);
 }
 
@@ -40,7 +41,7 @@
                         .add("active", isWatching ? "yes" : "no")
                         .add("version", version().value()),
                 steadyNow());
-    if (m_isWatching && !m_isRequestPending)
+    if (m_isWatching && (!m_isRequestPending || m_isDelegated))
         scheduleRequest(m_nextRequest);
 }
 
@@ -56,11 +57,18 @@
     m_timer.async_wait([this, watchRequest](const boost::system::error_code &error) {
         if (error)
             return;
-        // Until the node has a configuration, it reads the store even if another node watches.
         if (!m_isWatching && version() != Version()) {
             m_isRequestPending = false;
             return;
         }
+        if (!m_isWatching && m_mayDelegate) {
+            // The watcher passes the configuration on; this is for the case that it cannot.
+            m_mayDelegate = false;
+            m_isDelegated = true;
+            scheduleRequest(m_watch.delegatedRequest(watchRequest));
+            return;
+        }
+        m_isDelegated = false;
         StoreRequest request;
         request.kind = watchRequest.isWatch ? StoreRequest::Kind::Watch : StoreRequest::Kind::List;
         request.table = m_protocol.configurationTable();
@@ -80,6 +88,7 @@
     else if (answer.outcome == StoreOutcome::Done)
         result = answer.rows.empty() ? WatchResult::Unchanged : WatchResult::Changed;
     m_nextRequest = m_watch.onResult(result, answer.revision);
+    m_mayDelegate = true;
     m_lastAnswerTime = steadyNow();
     if (wasFailing != m_watch.isFailing()) {
         m_log.write("store",
--- a/packages/node/src/runtime/ConfigurationUpdater.h
+++ b/packages/node/src/runtime/ConfigurationUpdater.h
@@ -30,8 +30,9 @@
                          const PlatformProtocol &protocol, RandomSource &random,
                          RateLimitedLog &log, NodeMetrics &metrics, AppliedCallback onApplied);
 
-    /// Reads the store once, whether or not this node watches it.
-    void start();
+    /// Reads the store once, whether or not this node watches it. If the whole system starts for
+    /// the first time, that is left to the nodes that watch.
+    void start(bool isFirstStart);
     /// Sets whether this node watches the store on behalf of its zone.
     void setWatching(bool isWatching);
     /// Applies changes sent by a peer. Returns false if a snapshot has to be requested instead.
@@ -59,6 +60,8 @@
     ConfigurationReplica m_replica;
     LoopTimer m_timer;
     bool m_isWatching = true;
+    bool m_isDelegated = false; ///< The scheduled call is only for the case that the watchers fail.
+    bool m_mayDelegate = false; ///< The next request may be left to the watchers for some time.
     bool m_isRequestPending = false;                    ///< A call is in progress or scheduled.
     WatchRequest m_nextRequest;                         ///< The next call while watching.
     absl::Time m_lastAnswerTime = absl::InfinitePast(); ///< Successful or not.
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -181,8 +181,8 @@
                             .add("backend_server", m_settings.backendServerAddress.value())
                             .add("clients", m_settings.clientAddress.value()),
                     steadyNow());
-        m_mesh.start();
-        m_configurationUpdater.start();
+        m_mesh.start(m_settings.isFirstStart);
+        m_configurationUpdater.start(m_settings.isFirstStart);
         waitForSignal();
         scheduleTick();
         m_loop.run();
--- a/packages/node/src/runtime/MeshSettings.cpp
+++ b/packages/node/src/runtime/MeshSettings.cpp
@@ -73,6 +73,7 @@
         addresses.reportUnknownKeys();
     }
     settings.storeAddress = readAddress(reader, "store");
+    settings.isFirstStart = reader.flag("first_start", false);
     if (const auto *limits = reader.object("limits"))
         readLimits(*limits, settings, faults);
     if (const auto *bounds = reader.object("bounds"))
--- a/tests/process/drains.py
+++ b/tests/process/drains.py
@@ -34,7 +34,7 @@
 class Host:
     """A node process and its backend server."""
 
-    def __init__(self, number, folder, executions, crashes):
+    def __init__(self, number, folder, executions, crashes, is_first_start):
         self.name = f"host-{number}"
         (self.client_port, self.readiness_port, self.announcement_port, self.peer_port,
          self.metrics_port, self.backend_port) = range(FIRST_PORT + 10 * (number + 1),
@@ -52,6 +52,7 @@
             "backend_server": address,
             "listen": {name: f"127.0.0.1:{port}" for name, port in listen.items()},
             "store": f"127.0.0.1:{STORE_PORT}", "limits": {"descriptors": 1024},
+            "first_start": is_first_start,
             "bounds": {"announcement_interval": "870ms", "stop_timeout": "6s", "retry_ratio": 0.2,
                        "retry_slack": 60, "retry_window": "10s"}}
         with open(self.settings, "w", encoding="utf-8") as file:
@@ -93,11 +94,12 @@
 class Deployment:
     """A store and hosts whose backend servers all run the same service."""
 
-    def __init__(self, folder, host_count):
+    def __init__(self, folder, host_count, is_first_start):
         self.store = Store()
         self.executions = {}
         self.crashes = {}  # As in BackendServer, of all hosts.
-        self.hosts = [Host(number, folder, self.executions, self.crashes) for number in range(host_count)]
+        self.hosts = [Host(number, folder, self.executions, self.crashes, is_first_start)
+                      for number in range(host_count)]
         self.last_request_number = 0
 
     async def start(self):
@@ -333,6 +335,23 @@
     await check_quarantine(deployment)
 
 
+# Guards against a first start in which each node reads what cannot be there yet, and the configuration from the store.
+async def first_start_makes_few_store_calls(deployment):
+    for host in deployment.hosts:
+        await host.backend.announce(host.announcement_port)
+        await deployment.wait_until_served(host)
+    calls = deployment.store.calls
+    assert calls[("rows-get", "gl-hosts")] == len(deployment.hosts), calls
+    assert ("rows-get", "gl-drains") not in calls, calls
+    assert ("rows-get", "gl-quarantine") not in calls, calls
+    assert calls[("rows-get", "op")] < len(deployment.hosts), calls
+
+
+# Guards against a drain that is forgotten when a node restarts under settings that still tell of a first start.
+async def restart_after_deregistration_during_a_first_start(deployment):
+    await node_restart_after_deregistration(deployment)
+
+
 SCENARIOS = {function.__name__: (function, host_count) for function, host_count in (
     (late_announcement_of_a_deregistered_server_that_was_known_from_its_probe, 1),
     (node_restart_after_deregistration, 1),
@@ -342,11 +361,13 @@
     (request_that_ends_shortly_before_the_stop_timeout, 1),
     (request_limit_over_restarts_of_the_node, 3),
     (request_that_crashes_servers_at_any_host, 3),
-    (request_that_crashes_servers_over_a_restart_of_all_nodes, 3))}
+    (request_that_crashes_servers_over_a_restart_of_all_nodes, 3),
+    (first_start_makes_few_store_calls, 6),
+    (restart_after_deregistration_during_a_first_start, 1))}
 
 
 async def run(scenario, host_count, folder):
-    deployment = Deployment(folder, host_count)
+    deployment = Deployment(folder, host_count, "first_start" in scenario.__name__)
     await deployment.start()
     try:
         await scenario(deployment)
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -50,6 +50,7 @@
         self.rows = {}
         self.change_log = []
         self.revision = 0
+        self.calls = {}  # Number of executed calls, by the last part of the path and the table.
         self.oldest_watchable_revision = 0
         # ok, refusing (503), silent (no answer), slow, losing (executes the call and closes the
         # connection without an answer)
@@ -110,6 +111,8 @@
     async def execute(self, target, body):
         path, _, query = target.partition("?")
         arguments = dict(part.partition("=")[::2] for part in query.split("&") if part)
+        call_name = path.rpartition("/")[2], arguments.get("table")
+        self.calls[call_name] = self.calls.get(call_name, 0) + 1
         if path.endswith("rows-tx"):
             call = json.loads(body)
             present = [self.rows.get((row["table"], row["key"])) for row in call["expected_rev"]]
--- a/tests/traffic/ConfigurationWatchTests.cpp
+++ b/tests/traffic/ConfigurationWatchTests.cpp
@@ -10,7 +10,7 @@
 {
     SeededRandom random(3);
     ConfigurationWatch watch(random);
-    CHECK_FALSE(watch.firstRequest().isWatch);
+    CHECK_FALSE(watch.firstRequest(false).isWatch);
     const WatchRequest nextRequest = watch.onResult(WatchResult::Changed, 40);
     CHECK(nextRequest.isWatch);
     CHECK(nextRequest.afterRevision == 40);
@@ -47,3 +47,20 @@
     CHECK(watch.onResult(WatchResult::Changed, 1).delay > absl::ZeroDuration());
     CHECK(watch.onResult(WatchResult::Changed, 2).delay < applyDeadline / 2);
 }
+
+TEST_CASE("a node that starts alone reads at once, one of a new system leaves it to the watchers")
+{
+    SeededRandom random(3);
+    ConfigurationWatch watch(random);
+    CHECK(watch.firstRequest(false).delay == absl::ZeroDuration());
+    CHECK(watch.firstRequest(true).delay == ConfigurationWatch::FirstStartDelay);
+    const WatchRequest next = watch.onResult(WatchResult::Unchanged, 7);
+    CHECK(next.longPollTimeout == ConfigurationWatch::LongPollTimeout);
+    const WatchRequest delegated = watch.delegatedRequest(next);
+    CHECK(delegated.isWatch);
+    CHECK(delegated.afterRevision == 7);
+    // A call that waits at the store would return with every change.
+    CHECK(delegated.longPollTimeout == absl::ZeroDuration());
+    CHECK(delegated.delay >= ConfigurationWatch::DelegatedReadDelay / 2);
+    CHECK(delegated.delay <= ConfigurationWatch::DelegatedReadDelay * 1.5);
+}
