Bound the pings and refreshes of a node in a fleet of any size

Cause: with fixed intervals, pings and reports to idle peers still grow with the number of nodes at each node.

Change: the intervals are at least 10 ms times the peers, so that a node sends at most a hundred pings on idle links and a hundred refreshes a second. Up to 180 peers nothing changes. A dead idle link is found later in a larger fleet, at the latest 2.2 s after its first request.

--- a/packages/decisions/include/godwitlift/traffic/LinkProbe.h
+++ b/packages/decisions/include/godwitlift/traffic/LinkProbe.h
@@ -4,6 +4,8 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
+
 namespace godwitlift {
 
 /// Probing of one connection by pings. Not thread-safe.
@@ -15,7 +17,11 @@
 {
 public:
     static constexpr absl::Duration UsedInterval = absl::Milliseconds(600);
-    static constexpr absl::Duration IdleInterval = absl::Milliseconds(1800);
+    /// Bounds of the interval on idle connections: the larger of the minimum and the interval per
+    /// peer times the peers, so that a node sends at most a hundred such pings a second in a fleet
+    /// of any size.
+    static constexpr absl::Duration MinIdleInterval = absl::Milliseconds(1800);
+    static constexpr absl::Duration IdleIntervalPerPeer = absl::Milliseconds(10);
     /// Time without an answer to a ping after which the connection has failed: round trips take
     /// milliseconds, but a host may be slow or its link congested.
     static constexpr absl::Duration PongTimeout = absl::Milliseconds(1400);
@@ -23,9 +29,13 @@
     static constexpr absl::Duration HelloTimeout = absl::Milliseconds(2000);
     /// Time after its latest request in which a connection counts as used.
     static constexpr absl::Duration UseExpiry = absl::Seconds(3);
-    /// Longest time without data from a peer whose connection works: two pings on an idle
-    /// connection may be late.
-    static constexpr absl::Duration SilenceLimit = absl::Milliseconds(5000);
+    static absl::Duration idleInterval(std::size_t peerCount);
+    /// Longest time without data from a peer whose connection works: two idle intervals, after
+    /// which the peer itself has given the connection up.
+    static absl::Duration silenceLimit(std::size_t peerCount)
+    {
+        return 2 * idleInterval(peerCount) + PongTimeout;
+    }
 
     /// A hello has been sent on a new connection.
     void onConnected(absl::Time now)
@@ -37,7 +47,7 @@
     void onPingSent(absl::Time now);
     /// The peer has answered a ping or the hello.
     void onAnswer() { m_unansweredSince = absl::InfiniteFuture(); }
-    bool isPingDue(absl::Time now) const;
+    bool isPingDue(absl::Time now, std::size_t peerCount) const;
     bool hasFailed(absl::Time now) const { return now - m_unansweredSince > PongTimeout; }
 
 private:
--- a/packages/decisions/include/godwitlift/traffic/ReportSchedule.h
+++ b/packages/decisions/include/godwitlift/traffic/ReportSchedule.h
@@ -7,6 +7,8 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
+
 namespace godwitlift {
 
 /// Peers that a round of reports goes to in addition to those that are due.
@@ -40,8 +42,11 @@
     static constexpr absl::Duration MinCallerInterval = absl::Milliseconds(100);
     static constexpr absl::Duration IntervalPerCaller = absl::Milliseconds(4);
     static constexpr absl::Duration MaxCallerInterval = absl::Milliseconds(500);
-    /// Mean interval between refreshes of a peer that does not call.
-    static constexpr absl::Duration RefreshInterval = absl::Seconds(2);
+    /// Mean interval between refreshes of a peer that does not call: the larger of the minimum and
+    /// the interval per peer times the peers, so that a gate sends at most a hundred refreshes a
+    /// second in a fleet of any size.
+    static constexpr absl::Duration MinRefreshInterval = absl::Seconds(2);
+    static constexpr absl::Duration RefreshIntervalPerPeer = absl::Milliseconds(10);
     /// Smallest change that is reported to callers before MaxCallerInterval has passed: in running
     /// and queued attempts as a share of the slots, or in the failure share.
     static constexpr double SignificantChange = 0.1;
@@ -63,8 +68,8 @@
     }
     /// The callers have got \p report.
     void onCallersReported(const GateReport &report, absl::Time now);
-    /// \p recipient has got a report.
-    void onReported(ReportRecipient &recipient, absl::Time now);
+    /// \p recipient, one of \p peerCount peers, has got a report.
+    void onReported(ReportRecipient &recipient, std::size_t peerCount, absl::Time now);
 
 private:
     RandomSource &m_random;
--- a/packages/decisions/src/traffic/LinkProbe.cpp
+++ b/packages/decisions/src/traffic/LinkProbe.cpp
@@ -12,10 +12,15 @@
     m_unansweredSince = std::min(m_unansweredSince, now);
 }
 
-bool LinkProbe::isPingDue(absl::Time now) const
+absl::Duration LinkProbe::idleInterval(std::size_t peerCount)
+{
+    return std::max(MinIdleInterval, IdleIntervalPerPeer * static_cast<double>(peerCount));
+}
+
+bool LinkProbe::isPingDue(absl::Time now, std::size_t peerCount) const
 {
     const bool isUsed = now - m_lastUse < UseExpiry;
-    return now - m_lastPing >= (isUsed ? UsedInterval : IdleInterval);
+    return now - m_lastPing >= (isUsed ? UsedInterval : idleInterval(peerCount));
 }
 
 } // namespace godwitlift
--- a/packages/decisions/src/traffic/ReportSchedule.cpp
+++ b/packages/decisions/src/traffic/ReportSchedule.cpp
@@ -30,9 +30,11 @@
     m_lastReportTime = now;
 }
 
-void ReportSchedule::onReported(ReportRecipient &recipient, absl::Time now)
+void ReportSchedule::onReported(ReportRecipient &recipient, std::size_t peerCount, absl::Time now)
 {
-    recipient.nextRefresh = now + RefreshInterval * (0.75 + 0.5 * m_random.uniformReal());
+    const absl::Duration interval =
+            std::max(MinRefreshInterval, RefreshIntervalPerPeer * static_cast<double>(peerCount));
+    recipient.nextRefresh = now + interval * (0.75 + 0.5 * m_random.uniformReal());
 }
 
 } // namespace godwitlift
--- a/packages/node/src/peers/PeerLink.cpp
+++ b/packages/node/src/peers/PeerLink.cpp
@@ -113,7 +113,7 @@
     connect();
 }
 
-void PeerLink::tick(absl::Time now)
+void PeerLink::tick(absl::Time now, std::size_t peerCount)
 {
     if (m_channel == nullptr)
         return;
@@ -121,7 +121,7 @@
         dropChannel("silent");
         return;
     }
-    if (m_isUp && m_probe.isPingDue(now)) {
+    if (m_isUp && m_probe.isPingDue(now, peerCount)) {
         m_probe.onPingSent(now);
         mesh::Frame frame;
         frame.mutable_ping();
--- a/packages/node/src/peers/PeerLink.h
+++ b/packages/node/src/peers/PeerLink.h
@@ -54,7 +54,8 @@
     /// Time since the link was lost or created; zero while it is up.
     absl::Duration downtime(absl::Time now) const;
     /// Sends pings and closes a connection that has timed out. Call it several times a second.
-    void tick(absl::Time now);
+    /// \p peerCount is the number of links of this node.
+    void tick(absl::Time now, std::size_t peerCount);
     /// Connects without waiting for the backoff delay, for example after a hello from the peer.
     void connectNow();
     void send(const mesh::Frame &frame);
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -301,7 +301,7 @@
     const absl::Time now = steadyNow();
     std::vector<HostId> unreachable;
     for (const auto &[host, link] : m_links) {
-        link->tick(now);
+        link->tick(now, m_links.size());
         if (link->downtime(now) > UnreachableHostTimeout)
             unreachable.push_back(host);
     }
@@ -321,7 +321,7 @@
 {
     std::vector<std::shared_ptr<PeerSession>> timedOut;
     for (const auto &[key, session] : m_sessions) {
-        if (now - session->lastReceiveTime() > LinkProbe::SilenceLimit)
+        if (now - session->lastReceiveTime() > LinkProbe::silenceLimit(m_links.size()))
             timedOut.push_back(session);
     }
     for (const auto &session : timedOut) {
@@ -358,7 +358,7 @@
         if (!frame)
             frame = encodeGateState(report, nodeState());
         session->send(*frame);
-        m_reportSchedule.onReported(recipient, now);
+        m_reportSchedule.onReported(recipient, m_sessions.size(), now);
     }
     if (areCallersDue)
         m_reportSchedule.onCallersReported(report, now);
@@ -413,7 +413,7 @@
 void PeerMesh::sendGateReport(PeerSession &session)
 {
     session.send(encodeGateState(makeGateReport(), nodeState()));
-    m_reportSchedule.onReported(session.reportRecipient(), steadyNow());
+    m_reportSchedule.onReported(session.reportRecipient(), m_sessions.size(), steadyNow());
 }
 
 mesh::Frame PeerMesh::makeHello(const HostId &host)
