Begin the sequence of a split route at a random position

Cause: each node began the weighted round robin of a split route at the same position, at its start and with each change of the weights. In a large fleet, where a node gets few requests of a route, nearly all of them went to the destination with the greatest weight: of 200 nodes with one request each, 200 instead of 140 at a weight of 70.

--- a/packages/decisions/src/traffic/TrafficSplit.cpp
+++ b/packages/decisions/src/traffic/TrafficSplit.cpp
@@ -6,6 +6,13 @@
 
 namespace godwitlift {
 
+namespace {
+
+/// Number of positions at which a sequence may begin: weights are whole percentages as a rule.
+constexpr std::uint64_t StartPositions = 100;
+
+} // namespace
+
 const ServiceId &TrafficSplit::nextDestination(const TrafficRoute &route)
 {
     if (route.destinations.size() == 1)
@@ -14,15 +21,22 @@
     if (state.destinations != route.destinations) {
         state.destinations = route.destinations;
         state.credits.assign(route.destinations.size(), 0);
+        for (auto skipped = m_random.uniformBelow(StartPositions); skipped > 0; --skipped)
+            advance(state);
     }
+    return route.destinations[advance(state)].service;
+}
+
+std::size_t TrafficSplit::advance(State &state)
+{
     double total = 0;
     for (std::size_t i = 0; i < state.credits.size(); ++i) {
-        state.credits[i] += route.destinations[i].weight;
-        total += route.destinations[i].weight;
+        state.credits[i] += state.destinations[i].weight;
+        total += state.destinations[i].weight;
     }
     const auto best = std::max_element(state.credits.begin(), state.credits.end());
     *best -= total;
-    return route.destinations[static_cast<std::size_t>(best - state.credits.begin())].service;
+    return static_cast<std::size_t>(best - state.credits.begin());
 }
 
 } // namespace godwitlift
--- a/packages/node/src/ingress/IngressService.cpp
+++ b/packages/node/src/ingress/IngressService.cpp
@@ -31,13 +31,14 @@
 
 IngressService::IngressService(asio::io_context &loop, Options options,
                                FinishTimeSelector &selector, GatewayLookup &gateways,
-                               RateLimitedLog &log, NodeMetrics &metrics)
+                               RateLimitedLog &log, NodeMetrics &metrics, RandomSource &random)
     : m_loop(loop)
     , m_options(std::move(options))
     , m_selector(selector)
     , m_gateways(gateways)
     , m_log(log)
     , m_metrics(metrics)
+    , m_split(random)
 {}
 
 void IngressService::setCatalogue(std::shared_ptr<const RouteCatalogue> catalogue)
--- a/packages/node/src/ingress/IngressService.h
+++ b/packages/node/src/ingress/IngressService.h
@@ -48,7 +48,8 @@
     };
 
     IngressService(asio::io_context &loop, Options options, FinishTimeSelector &selector,
-                   GatewayLookup &gateways, RateLimitedLog &log, NodeMetrics &metrics);
+                   GatewayLookup &gateways, RateLimitedLog &log, NodeMetrics &metrics,
+                   RandomSource &random);
 
     void setCatalogue(std::shared_ptr<const RouteCatalogue> catalogue);
     void setRetryRule(const RetryBudgetRule &rule);
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -130,7 +130,7 @@
         , m_ingress(m_loop,
                     { m_settings.host, m_settings.service, protocol.headerNames(), m_crashHistory,
                       m_settings.retryRule },
-                    m_selector, m_mesh, m_log, m_metrics)
+                    m_selector, m_mesh, m_log, m_metrics, m_random)
         , m_configurationUpdater(
                   m_loop, m_store, protocol, m_random, m_log, m_metrics,
                   [this](auto catalogue) { onConfigurationApplied(std::move(catalogue)); })
--- a/tests/node/RequestPath.h
+++ b/tests/node/RequestPath.h
@@ -67,7 +67,7 @@
                     protocol->headerNames(),
                     crashHistory,
                     { 0.2, 50, absl::Seconds(10) } },
-                  selector, *this, log, metrics)
+                  selector, *this, log, metrics, random)
         , linkScheduler(loop, linkMbps)
         , httpServer(loop, linkScheduler, ingress)
     {
@@ -96,10 +96,13 @@
             route.attemptLimit = 2;
             return std::make_shared<const TrafficRoute>(route);
         };
+        TrafficRoute split = *makeRoute("split", "/split/", RetrySafety::Idempotent);
+        split.destinations = { { ServiceId("desk"), 3 }, { ServiceId("gone"), 1 } };
         ingress.setCatalogue(
                 RouteCatalogue::create(Version(1),
                                        { makeRoute("look", "/look/", RetrySafety::Idempotent),
-                                         makeRoute("pay", "/pay/", RetrySafety::AtMostOnce) },
+                                         makeRoute("pay", "/pay/", RetrySafety::AtMostOnce),
+                                         std::make_shared<const TrafficRoute>(split) },
                                        {}, {}));
         ServerAnnouncement announcement;
         announcement.id = BackendServerId("i-1");
--- a/tests/node/RequestPathLoadTests.cpp
+++ b/tests/node/RequestPathLoadTests.cpp
@@ -61,6 +61,33 @@
         path.awaitBackendRequest("X-Attempt-Id: r" + std::to_string(i) + "\r\n");
 }
 
+TEST_CASE("requests of a split route for a service without backend servers are refused at once and "
+          "are not moved to the other service")
+{
+    RequestPath path;
+    path.configure();
+    // The weights are 3 and 1; four requests fill the slots of the backend server.
+    std::size_t refused = 0;
+    std::size_t forwarded = 0;
+    while (forwarded < 4) {
+        TestConnection &client = path.connectClient();
+        const std::string id = "s" + std::to_string(refused + forwarded) + ".";
+        client.write(makeGetRequest("/split/x", id));
+        path.runUntil([&] {
+            return contains(client.received, "\r\n\r\n") || path.gate.attemptCount() > forwarded;
+        });
+        if (path.gate.attemptCount() > forwarded) {
+            ++forwarded;
+            continue;
+        }
+        CHECK(contains(client.received, "HTTP/1.1 503"));
+        ++refused;
+    }
+    // Four requests of the first service in a row have one or two of the other among them.
+    CHECK(refused >= 1);
+    CHECK(refused <= 2);
+}
+
 TEST_CASE("an answer that is queued for the link is still delivered when the node shuts down")
 {
     constexpr double SlowLinkMbps = 1;
