--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -5,6 +5,7 @@
 
 import math
 import pathlib
+import re
 import sys
 
 from report import DATA, ROOT, read_rows
@@ -163,6 +164,36 @@
     ]
 
 
+def read_sweep(name):
+    """Busiest node's figures of a `fleetbench sweep`: by quantity, the values at each size, the power and the target's."""
+    sizes, rows = [], {}
+    for line in (DATA / name).read_text().splitlines():
+        if " power " in line and line.startswith(" "):
+            sizes = [int(word) for word in line.split("power")[0].split()]
+        pairs = re.findall(r"([\d.]+) / ([\d.]+)", line)
+        if len(pairs) == len(sizes) and pairs:
+            power, target = line.split()[-2:]
+            rows[line.split("  ")[0]] = [float(busiest) for _, busiest in pairs], float(power), float(target)
+    return sizes, rows
+
+
+def mesh_sweep_table():
+    """The mesh node's slopes, and those of the node that reported to all others and pinged them all alike."""
+    sizes, rows = read_sweep("sweep.txt")
+    _, earlier = read_sweep("sweep-before.txt")
+    budgets = {"node: memory MB": f"{MEMORY_LIMIT_MB} MB", "node: kB a second": f"{SENT_LIMIT_BYTES_PER_S / 1e3:.0f} kB/s for control"}
+    lines = ["| busiest node | " + " | ".join(f"{size} hosts" for size in sizes)
+             + " | power | at the target | power before | at the target before | budget |",
+             "|---" * (len(sizes) + 6) + "|"]
+    for quantity, (values, power, target) in rows.items():
+        if not quantity.startswith("node: "):
+            continue
+        _, power_before, target_before = earlier[quantity]
+        lines.append(f"| {quantity.removeprefix('node: ')} | " + " | ".join(f"{value:g}" for value in values)
+                     + f" | {power:g} | {target:g} | {power_before:g} | {target_before:g} | {budgets.get(quantity, '')} |")
+    return lines
+
+
 def computed_section():
     measured = read_measurements()
     control, summary, changes = control_table(measured)
@@ -175,7 +206,8 @@
     lines += ["", f"Extrapolated by {INSTANCES / int(largest_fleet['nodes']):.0f} times in nodes. The path does not grow: publisher, "
               "root, relay, leaf, with at most 26 sends in a row at one node. Apply and compile at the target size add "
               f"{(measured['delta-apply'] + measured['table-compile']) / 1e3:.0f} ms on each of the three levels.", "",
-              "## Serving", "", *serving_table(measured), "", "## Platform", "", *platform_table(measured, changes)]
+              "## Serving", "", *serving_table(measured), "", "## Platform", "", *platform_table(measured, changes), "",
+              "## Slopes of the mesh node", "", *mesh_sweep_table()]
     return "\n".join(lines) + "\n"
 
 
