--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -127,10 +127,11 @@
         self.listener.close()
         self.silent |= self.writers
 
-    async def come_back(self, copy):
-        """Returns from `copy`. Connections of before stay silent."""
-        self.rows, self.log, self.ver = dict(copy[0]), list(copy[1]), copy[2]
-        self.era += 1
+    async def come_back(self, copy=None):
+        """Returns, from `copy` if it is given. Connections of before stay silent."""
+        if copy is not None:
+            self.rows, self.log, self.ver = dict(copy[0]), list(copy[1]), copy[2]
+            self.era += 1
         await self.start(self.port)
 
     async def serve(self, reader, writer):
@@ -217,7 +218,7 @@
         self.work = work
         self.born = int(time.time() * 1000)
         self.sequence = 0
-        self.state = "ready"
+        self.state = "ready"  # Or draining, or leaving after a deregistration.
         self.runs = []  # (time, request id, target)
         self.slots = asyncio.Semaphore(SLOTS)
         self.writers = set()
@@ -235,11 +236,19 @@
             await asyncio.sleep(HEARTBEAT)
 
     async def beat(self):
+        return await call_control(self.control_port, *self.next_beat())
+
+    def next_beat(self):
+        """The call and body of the next heartbeat."""
         self.sequence += 1
-        body = {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "z1",
-                "version": "v1", "slots": SLOTS, "state": self.state, "cold_remaining": "0ms",
-                "sequence": self.sequence, "born": self.born}
-        return await call_control(self.control_port, f"Instances.Heartbeat/{self.id}", body)
+        return f"Instances.Heartbeat/{self.id}", {
+            "service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "z1",
+            "version": "v1", "slots": SLOTS, "state": self.state, "cold_remaining": "0ms",
+            "sequence": self.sequence, "born": self.born}
+
+    def notices(self):
+        """What an instance that leaves says in all its answers."""
+        return {} if self.state == "ready" else {"Server-Leaving": "1"}
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -250,8 +259,9 @@
                 _, target, _ = start_line.split(" ")
                 if target == "/health":
                     status = "200 OK" if self.state == "ready" else "503 Service Unavailable"
-                    await stream.send(f"HTTP/1.1 {status}", {"X-Instance-Id": self.id,
-                                                             "X-Server-Load": f"0,0,{SLOTS}"})
+                    await stream.send(f"HTTP/1.1 {status}",
+                                      {"X-Instance-Id": self.id, "X-Server-Load": f"0,0,{SLOTS}",
+                                       **self.notices()})
                     continue
                 if fields.get("x-expect-instance", self.id) != self.id:
                     await stream.send("HTTP/1.1 421 Misdirected Request", {"X-Instance-Id": self.id})
@@ -282,7 +292,8 @@
             except asyncio.CancelledError:
                 pass
         await stream.send("HTTP/1.1 200 OK", {"X-Attempt-Id": request, "X-Response-Seal": "s-1",
-                                              "X-Server-Load": f"1,0,{SLOTS}"},
+                                              "X-Server-Load": f"1,0,{SLOTS}",
+                                              **self.notices()},
                           f"{self.id} {target} {len(body)}".encode())
         self.record(f"{self.id} has answered {request}")
         return True
