--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -17,6 +18,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
+USED_PORTS = set()
 # As in the small site files.
 SLOTS = 18
 HEARTBEAT = 0.87
@@ -31,14 +33,18 @@
 
 
 def free_ports(count):
-    sockets = []
-    for _ in range(count):
-        each = socket.socket()
-        each.bind(("127.0.0.1", 0))
-        sockets.append(each)
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Free ports below the ephemeral range, whose ports outgoing connections may occupy."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in USED_PORTS:
+            USED_PORTS.add(port)
+            ports.append(port)
     return ports
 
 
