Log reads of the configuration and the store's era

A node's log could not tell whether a version was late because no answer came, because the answer was refused, or because it was read from the history of another era. Logs failed and changed reads with the time waited and the store's position, and the change of an era; exports the age of the latest read. No decision is changed.

--- a/packages/node/include/godwitlift/node/PlatformProtocol.h
+++ b/packages/node/include/godwitlift/node/PlatformProtocol.h
@@ -89,6 +89,8 @@
     virtual EncodedRequest encodeStoreRequest(const StoreRequest &request) const = 0;
     virtual StoreAnswer decodeStoreAnswer(const StoreRequest &request, unsigned status,
                                           std::string_view body) const = 0;
+    /// Decodes any answer of the store, also one that refuses the request.
+    virtual StoreEra decodeStoreEra(const FieldLookup &field) const = 0;
 };
 
 } // namespace godwitlift
--- a/packages/node/include/godwitlift/node/StoreMessages.h
+++ b/packages/node/include/godwitlift/node/StoreMessages.h
@@ -11,9 +11,13 @@
 
 namespace godwitlift {
 
-/// Position in the store's total order of transactions.
+/// Position in the store's total order of transactions, within one era.
 using StoreRevision = std::uint64_t;
 
+/// Counts how often the store has returned from a copy, which gives revisions out again. 0 if the
+/// store does not state it.
+using StoreEra = std::uint64_t;
+
 /// How a call to the store ended.
 enum class StoreOutcome : std::uint8_t {
     Done,
@@ -61,6 +65,7 @@
 {
     StoreOutcome outcome = StoreOutcome::Unknown;
     std::vector<StoreRow> rows;
+    StoreEra era = 0;               ///< Also of answers that refuse the request.
     StoreRevision revision = 0;     ///< Newest revision of the store at the time of the answer.
     bool hasMore = false;           ///< The list continues after the last row.
     std::size_t unreadableRows = 0; ///< Number of rows that could not be decoded and were omitted.
--- a/packages/node/src/runtime/ConfigurationUpdater.cpp
+++ b/packages/node/src/runtime/ConfigurationUpdater.cpp
@@ -75,12 +75,40 @@
         request.afterRevision = watchRequest.afterRevision;
         request.watchTimeout = watchRequest.longPollTimeout;
         m_store.call(std::move(request),
-                     [this](const StoreAnswer &answer) { onStoreAnswer(answer); });
+                     [this, sent = steadyNow(), isWatch = watchRequest.isWatch](
+                             const StoreAnswer &answer) { onStoreAnswer(answer, sent, isWatch); });
     });
 }
 
-void ConfigurationUpdater::onStoreAnswer(const StoreAnswer &answer)
+void ConfigurationUpdater::logRead(const StoreAnswer &answer, absl::Duration waited, bool isWatch)
 {
+    if (answer.era != 0 && answer.era != m_storeEra) {
+        m_log.write("store-era",
+                    LogLine("store-era")
+                            .add("before", m_storeEra)
+                            .add("now", answer.era)
+                            .add("revision", answer.revision),
+                    steadyNow());
+        m_storeEra = answer.era;
+    }
+    if (answer.outcome == StoreOutcome::Done && answer.rows.empty())
+        return;
+    m_log.write("configuration-read",
+                LogLine("configuration-read")
+                        .add("call", isWatch ? "watch" : "list")
+                        .add("outcome", name(answer.outcome))
+                        .add("waited_ms", waited)
+                        .add("rows", answer.rows.size())
+                        .add("revision", answer.revision)
+                        .add("in_force", version().value()),
+                steadyNow());
+}
+
+void ConfigurationUpdater::onStoreAnswer(const StoreAnswer &answer, absl::Time sent, bool isWatch)
+{
+    logRead(answer, steadyNow() - sent, isWatch);
+    if (answer.outcome == StoreOutcome::Done)
+        m_lastReadTime = steadyNow();
     const bool wasFailing = m_watch.isFailing();
     WatchResult result = WatchResult::Failed;
     if (answer.outcome == StoreOutcome::HistoryGone)
--- a/packages/node/src/runtime/ConfigurationUpdater.h
+++ b/packages/node/src/runtime/ConfigurationUpdater.h
@@ -44,10 +44,13 @@
     Version version() const { return m_replica.version(); }
     /// Whether the latest call to the store failed, unless its result is outdated.
     bool isStoreFailing() const;
+    /// Time since the store has last told this node its newest version; infinite if never.
+    absl::Duration timeSinceRead() const { return steadyNow() - m_lastReadTime; }
 
 private:
     void scheduleRequest(const WatchRequest &watchRequest);
-    void onStoreAnswer(const StoreAnswer &answer);
+    void onStoreAnswer(const StoreAnswer &answer, absl::Time sent, bool isWatch);
+    void logRead(const StoreAnswer &answer, absl::Duration waited, bool isWatch);
     void applyDocument(std::string_view document);
     void reportApplied(Version previous, std::string_view source);
 
@@ -65,6 +68,8 @@
     bool m_isRequestPending = false;                    ///< A call is in progress or scheduled.
     WatchRequest m_nextRequest;                         ///< The next call while watching.
     absl::Time m_lastAnswerTime = absl::InfinitePast(); ///< Successful or not.
+    absl::Time m_lastReadTime = absl::InfinitePast();   ///< Latest successful answer.
+    StoreEra m_storeEra = 0;                            ///< Of the latest answer that stated it.
 };
 
 } // namespace godwitlift
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -298,6 +298,8 @@
     {
         m_metrics.setGauge("configuration_version",
                            static_cast<double>(m_configurationUpdater.version().value()));
+        m_metrics.setGauge("configuration_read_age_seconds",
+                           absl::ToDoubleSeconds(m_configurationUpdater.timeSinceRead()));
         m_metrics.setGauge("links_up", static_cast<double>(m_mesh.openLinkCount()));
         m_metrics.setGauge("known_nodes", static_cast<double>(m_mesh.nodeCount()));
         m_metrics.setGauge("client_connections",
--- a/packages/node/src/store/StoreClient.cpp
+++ b/packages/node/src/store/StoreClient.cpp
@@ -84,7 +84,12 @@
 
     void close() { m_connection->close(); }
 
-    void onResponseHead(const ResponseHead &head) override { m_status = head.status; }
+    void onResponseHead(const ResponseHead &head) override
+    {
+        m_status = head.status;
+        m_era = m_client.m_protocol.decodeStoreEra(
+                [&head](std::string_view name) { return head.fields.find(name); });
+    }
     void onResponseBody(std::string data) override
     {
         m_body += data;
@@ -95,7 +100,9 @@
     {
         if (!m_connection->isClosed())
             m_client.m_idleConnection = m_connection;
-        complete(m_client.m_protocol.decodeStoreAnswer(m_request, m_status, m_body));
+        StoreAnswer answer = m_client.m_protocol.decodeStoreAnswer(m_request, m_status, m_body);
+        answer.era = m_era;
+        complete(answer);
     }
     void onExchangeFailed(Reason, bool hasSentBytes) override
     {
@@ -124,6 +131,7 @@
     std::list<std::shared_ptr<Call>>::iterator m_position;
     std::shared_ptr<BackendConnection> m_connection;
     unsigned m_status = 0;
+    StoreEra m_era = 0;
     std::string m_body;
 };
 
--- a/tests/platform/WireDecodingTests.cpp
+++ b/tests/platform/WireDecodingTests.cpp
@@ -197,3 +197,17 @@
         CHECK_FALSE(noticeOf(text, nullptr).requestLimit.has_value());
     }
 }
+
+TEST_CASE("the store's era is decoded; anything that is no number counts as not stated")
+{
+    const auto protocol = createPlatformProtocol();
+    const auto decode = [&](std::optional<std::string_view> value) {
+        return protocol->decodeStoreEra([&](std::string_view name) {
+            return name == "Store-Era" ? value : std::optional<std::string_view>();
+        });
+    };
+    CHECK(decode("7") == 7);
+    CHECK(decode(std::nullopt) == 0);
+    for (const char *odd : { "", "seven", "-1", "18446744073709551616", "7 8" })
+        CHECK(decode(odd) == 0);
+}
