Show with real nodes that configurations come into force too late

Callers got 404 for routes that had been added, and were led to the service that a route had before, up to 4 s after the change.

--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -56,10 +56,22 @@
         # connection without an answer)
         self.mode = "ok"
         self.change_event = asyncio.Event()
+        self.era = 1  # Rises each time the store returns from a copy.
 
     async def start(self, port):
         return await asyncio.start_server(self.serve_connection, "127.0.0.1", port)
 
+    def copy(self):
+        """A copy of the content, for return_from_copy()."""
+        return dict(self.rows), list(self.change_log), self.revision
+
+    def return_from_copy(self, copy):
+        """Forgets what was written since the copy was made; gives revisions out again."""
+        rows, change_log, self.revision = copy
+        self.rows, self.change_log = dict(rows), list(change_log)
+        self.era += 1
+        self.mode = "ok"
+
     def put(self, table, key, value):
         self.revision += 1
         row = {"table": table, "part": "", "key": key, "ver": self.revision,
@@ -97,14 +109,17 @@
             await asyncio.sleep(30)
             return False
         if mode == "refusing":
-            await stream.send_message("HTTP/1.1 503 Service Unavailable", {})
+            await stream.send_message("HTTP/1.1 503 Service Unavailable",
+                                      {"Store-Era": self.era})
             return True
         if mode == "slow":
             await asyncio.sleep(0.3)
+        era = self.era
         status, result = await self.execute(target, body)
-        if mode == "losing":
-            return False
-        await stream.send_message(f"HTTP/1.1 {status} X", {"Content-Type": "application/json"},
+        if mode == "losing" or era != self.era:
+            return False  # Calls that are open when the store goes away get no answer.
+        await stream.send_message(f"HTTP/1.1 {status} X", {"Content-Type": "application/json",
+                                                           "Store-Era": self.era},
                                   json.dumps(result).encode())
         return True
 
@@ -136,7 +151,7 @@
         after = int(arguments["after"])
         deadline = time.monotonic() + int(arguments["wait_ms"]) / 1000
         while True:
-            if after < self.oldest_watchable_revision:
+            if after < self.oldest_watchable_revision or after > self.revision:
                 return 410, {"error": "history"}
             rows = [row for row in self.change_log
                     if row["ver"] > after and row["table"] == arguments["table"]]
@@ -314,10 +329,16 @@
         self.is_refusing = False
         self.dropped_directions = set()  # Directions in which bytes are dropped: "up", "down".
         self.connections = set()
+        self.open_connections = []  # For each one, the directions in which it drops bytes.
 
     async def start(self, port):
         return await asyncio.start_server(self.serve_connection, "127.0.0.1", port)
 
+    def silence_open_connections(self):
+        """Drops all further bytes of the open connections, which are not reset; new ones work."""
+        for is_dropping in self.open_connections:
+            is_dropping.update(up=True, down=True)
+
     def reset_all(self):
         for writers in list(self.connections):
             for writer in writers:
@@ -337,11 +358,13 @@
         self.connections.add(writer_pair)
         # A connection that has lost bytes keeps dropping them; new connections work again.
         is_dropping = {"up": False, "down": False}
+        self.open_connections.append(is_dropping)
         try:
             await asyncio.gather(self.forward(reader, upstream_writer, "up", is_dropping),
                                  self.forward(upstream_reader, writer, "down", is_dropping))
         except asyncio.CancelledError:
             pass  # The run is over.
+        self.open_connections = [each for each in self.open_connections if each is not is_dropping]
         self.connections.discard(writer_pair)
         for each_writer in writer_pair:
             each_writer.close()
