Give each node a lease on its version of the configuration

What callers saw: up to 4 s after a change of the configuration was acknowledged, nodes answered 404 for routes that had been added and sent requests to the service that a route had before.

Cause: a node counted as current as long as it believed that another node watched the store for it. That the other one had failed showed only after timeouts that follow each other: 3 s of a poll and 1 s for its answer, or 1.8 s until a ping and 1.4 s until it is missed; then the change of roles, and 1 s more that was meant for the first start. No step knew in which time a version must be in force. After the store's return from a copy, nodes read from a revision of the earlier history and skipped versions.

Change: watchers confirm to their zone with each answer of the store which version was the newest, as of when, and up to which position of which era. A confirmation is a lease. Its length follows from the new setting configuration_apply_limit: a node without a further one reads the store on a new connection early enough for the limit, whatever has failed. Reads of a zone are spread so that the first ones spare the rest. An answer of another era leads to a full read. This works because nothing has to be detected: the time without knowledge is bounded, not the time of failures.

--- a/packages/decisions/include/godwitlift/traffic/ConfigurationWatch.h
+++ b/packages/decisions/include/godwitlift/traffic/ConfigurationWatch.h
@@ -1,8 +1,9 @@
 /// \file
-/// Schedules the long-poll requests that keep the configuration up to date with the store.
+/// Requests that follow the configuration's table in the store.
 #pragma once
 
 #include "godwitlift/base/RandomSource.h"
+#include "godwitlift/traffic/StorePosition.h"
 
 #include <absl/time/time.h>
 
@@ -10,13 +11,15 @@
 
 namespace godwitlift {
 
-/// The next request to the store.
+/// A request to the store.
 struct WatchRequest
 {
-    bool isWatch = false; ///< Wait for changes after `afterRevision`; otherwise read everything.
-    std::uint64_t afterRevision = 0;
+    bool isWatch = false; ///< Return changes after `after`; otherwise read everything.
+    StorePosition after;
     absl::Duration longPollTimeout; ///< How long the store may delay its answer until a change.
     absl::Duration delay;           ///< Before the request is sent.
+
+    bool isLongPoll() const { return isWatch && longPollTimeout > absl::ZeroDuration(); }
 };
 
 /// Result of a request to the store.
@@ -29,42 +32,40 @@
 
 /// Follows one table of the store: a full read, then consecutive watches. Not thread-safe.
 ///
-/// Invariant: after a gap in the history, a full read precedes the next watch.
+/// Invariant: after a gap in the history, or in another era, a full read precedes the next watch.
 class ConfigurationWatch final
 {
 public:
-    /// Time after which a watch is renewed. If the connection or the store stops responding, an
-    /// update is delayed by at most one watch; a version must be in force within seconds.
-    static constexpr absl::Duration LongPollTimeout = absl::Seconds(3);
     /// Changes within this time are fetched together: versions can follow each other many times a
     /// second, each call has a cost, and a version must be in force only within seconds.
-    static constexpr absl::Duration CoalescingDelay = absl::Milliseconds(400);
+    static constexpr absl::Duration CoalescingDelay = absl::Milliseconds(300);
     static constexpr absl::Duration InitialBackoff = absl::Milliseconds(200);
     static constexpr absl::Duration MaxBackoff = absl::Milliseconds(500);
 
-    /// Delay of the first read when the whole system starts for the first time: until then nodes
-    /// have found each other, and one of each zone reads the store.
-    static constexpr absl::Duration FirstStartDelay = absl::Seconds(1);
-    /// Time after which a node without a configuration reads the store although another node
-    /// watches it.
-    static constexpr absl::Duration DelegatedReadDelay = absl::Seconds(3);
-
-    explicit ConfigurationWatch(RandomSource &random)
+    /// \p pollTimeout is how long the store may delay an answer until a change.
+    ConfigurationWatch(RandomSource &random, absl::Duration pollTimeout)
         : m_random(random)
+        , m_pollTimeout(pollTimeout)
     {}
 
-    WatchRequest firstRequest(bool isFirstStart) const;
-    /// \p request as sent by a node that has no configuration while another node watches.
-    WatchRequest delegatedRequest(WatchRequest request) const;
-    /// \p revision is the newest revision of the store at the time of its answer; ignored for
-    /// HistoryGone and Failed.
-    WatchRequest onResult(WatchResult result, std::uint64_t revision);
+    /// A request that the store answers at once, with all that is not known yet.
+    WatchRequest readRequest() const;
+    /// Processes the result of \p request and returns the next request of a node that watches.
+    /// \p position is the store's at the time of its answer; ignored for Failed.
+    WatchRequest onResult(const WatchRequest &request, WatchResult result, StorePosition position);
+    /// A peer with the same version of the configuration knows the table up to \p position.
+    void adopt(StorePosition position);
+
+    bool needsFullRead() const { return m_needsFullRead; }
     bool isFailing() const { return m_backoff > absl::ZeroDuration(); }
+    /// Up to here the table is known.
+    StorePosition position() const { return m_position; }
 
 private:
     RandomSource &m_random;
+    absl::Duration m_pollTimeout;
     bool m_needsFullRead = true;
-    std::uint64_t m_revision = 0;
+    StorePosition m_position;
     absl::Duration m_backoff;
 };
 
--- a/packages/decisions/include/godwitlift/traffic/WatcherElection.h
+++ b/packages/decisions/include/godwitlift/traffic/WatcherElection.h
@@ -22,11 +22,26 @@
 /// is suspended, or has failed without being detected yet.
 inline constexpr std::size_t MinWatchers = 2;
 
-/// True if \p self is a watcher. \p peers are the other nodes that it can reach, of all zones. Each
+/// Part of a node in following the store.
+struct WatchRole
+{
+    bool isWatching = true;    ///< Watches the store on behalf of its zone.
+    std::size_t rank = 0;      ///< Place among the nodes of its zone that could watch.
+    std::size_t nodeCount = 1; ///< Of its zone, as far as it reaches them.
+
+    friend bool operator==(const WatchRole &, const WatchRole &) = default;
+};
+
+/// The role of \p self. \p peers are the other nodes that it can reach, of all zones. Each
 /// zone has one watcher; those of other zones stand in for it. A zone that reaches no other has
 /// MinWatchers. No consensus is needed: with different views, more nodes than necessary watch, and
 /// an isolated node watches for itself. Nodes that the store answers rank first, then those with
 /// the fastest links, since watchers read full versions and forward them.
-bool isWatcher(const WatcherCandidate &self, const std::vector<WatcherCandidate> &peers);
+WatchRole watchRole(const WatcherCandidate &self, const std::vector<WatcherCandidate> &peers);
+
+inline bool isWatcher(const WatcherCandidate &self, const std::vector<WatcherCandidate> &peers)
+{
+    return watchRole(self, peers).isWatching;
+}
 
 } // namespace godwitlift
--- a/packages/decisions/src/traffic/ConfigurationWatch.cpp
+++ b/packages/decisions/src/traffic/ConfigurationWatch.cpp
@@ -6,43 +6,49 @@
 
 namespace godwitlift {
 
-WatchRequest ConfigurationWatch::firstRequest(bool isFirstStart) const
+WatchRequest ConfigurationWatch::readRequest() const
 {
     WatchRequest request;
-    if (isFirstStart)
-        request.delay = FirstStartDelay;
+    request.isWatch = !m_needsFullRead;
+    if (request.isWatch)
+        request.after = m_position;
     return request;
 }
 
-WatchRequest ConfigurationWatch::delegatedRequest(WatchRequest request) const
+WatchRequest ConfigurationWatch::onResult(const WatchRequest &request, WatchResult result,
+                                          StorePosition position)
 {
-    request.longPollTimeout = absl::ZeroDuration();
-    request.delay = std::max(request.delay, DelegatedReadDelay * (0.5 + m_random.uniformReal()));
-    return request;
+    if (result == WatchResult::Failed) {
+        m_backoff = std::clamp(m_backoff * 2, InitialBackoff, MaxBackoff);
+        // Requests that do not wait detect the store's recovery sooner.
+        WatchRequest next = readRequest();
+        next.delay = m_backoff * (0.5 + 0.5 * m_random.uniformReal());
+        return next;
+    }
+    m_backoff = absl::ZeroDuration();
+    if (position.era == 0)
+        position.era = m_position.era;
+    // The revision of the request belongs to another history, which may have given it to other
+    // rows: changes may be missing from the answer.
+    const bool isOtherEra = request.isWatch && position.era != request.after.era;
+    m_needsFullRead = result == WatchResult::HistoryGone || isOtherEra;
+    if (m_needsFullRead)
+        return readRequest();
+    m_position = position.era == m_position.era ? std::max(m_position, position) : position;
+    WatchRequest next = readRequest();
+    if (result == WatchResult::Changed)
+        next.delay = CoalescingDelay;
+    else
+        next.longPollTimeout = m_pollTimeout;
+    return next;
 }
 
-WatchRequest ConfigurationWatch::onResult(WatchResult result, std::uint64_t revision)
+void ConfigurationWatch::adopt(StorePosition position)
 {
-    WatchRequest request;
-    if (result == WatchResult::Failed) {
-        m_backoff = m_backoff == absl::ZeroDuration() ? InitialBackoff
-                                                      : std::min(m_backoff * 2, MaxBackoff);
-        request.delay = m_backoff * (0.5 + 0.5 * m_random.uniformReal());
-    } else {
-        m_backoff = absl::ZeroDuration();
-        m_needsFullRead = result == WatchResult::HistoryGone;
-        if (!m_needsFullRead)
-            m_revision = revision;
-        if (result == WatchResult::Changed)
-            request.delay = CoalescingDelay;
-    }
-    request.isWatch = !m_needsFullRead;
-    if (request.isWatch) {
-        request.afterRevision = m_revision;
-        // While the store fails, requests that do not wait detect its recovery sooner.
-        request.longPollTimeout = isFailing() ? absl::ZeroDuration() : LongPollTimeout;
-    }
-    return request;
+    if (position <= m_position)
+        return;
+    m_position = position;
+    m_needsFullRead = false;
 }
 
 } // namespace godwitlift
--- a/packages/decisions/src/traffic/WatcherElection.cpp
+++ b/packages/decisions/src/traffic/WatcherElection.cpp
@@ -8,23 +8,26 @@
 
 namespace godwitlift {
 
-bool isWatcher(const WatcherCandidate &self, const std::vector<WatcherCandidate> &peers)
+WatchRole watchRole(const WatcherCandidate &self, const std::vector<WatcherCandidate> &peers)
 {
     const auto rank = [](const WatcherCandidate &candidate) {
         return std::make_tuple(candidate.isStoreFailing, UINT32_MAX - candidate.linkMbps,
                                hashOf(candidate.host.value()), candidate.host);
     };
     const auto ownRank = rank(self);
-    std::size_t rankedBefore = 0;
+    WatchRole role;
     bool reachesOtherZone = false;
     for (const WatcherCandidate &peer : peers) {
-        if (peer.zone != self.zone)
+        if (peer.zone != self.zone) {
             // A zone without the store cannot stand in for this one.
             reachesOtherZone = reachesOtherZone || !peer.isStoreFailing;
-        else if (rank(peer) < ownRank)
-            ++rankedBefore;
+        } else {
+            ++role.nodeCount;
+            role.rank += rank(peer) < ownRank ? 1 : 0;
+        }
     }
-    return rankedBefore < (reachesOtherZone ? 1 : MinWatchers);
+    role.isWatching = role.rank < (reachesOtherZone ? 1 : MinWatchers);
+    return role;
 }
 
 } // namespace godwitlift
--- a/packages/node/include/godwitlift/node/MeshSettings.h
+++ b/packages/node/include/godwitlift/node/MeshSettings.h
@@ -32,7 +32,9 @@
     std::size_t descriptorLimit = 1024;
     std::uint32_t linkMbps = 0;          ///< Bandwidth of the host's link; 0 is unknown.
     absl::Duration announcementInterval; ///< Between two announcements of the backend server.
-    absl::Duration stopTimeout;          ///< From SIGTERM until the process is killed.
+    /// From the store's acknowledgement of a version until it must be in force.
+    absl::Duration configurationApplyLimit = absl::Seconds(2);
+    absl::Duration stopTimeout; ///< From SIGTERM until the process is killed.
     RetryBudgetRule retryRule;
 
     friend bool operator==(const MeshSettings &, const MeshSettings &) = default;
--- a/packages/node/include/godwitlift/node/StoreMessages.h
+++ b/packages/node/include/godwitlift/node/StoreMessages.h
@@ -2,6 +2,8 @@
 /// Requests to the platform's metadata store and their answers.
 #pragma once
 
+#include "godwitlift/traffic/StorePosition.h"
+
 #include <absl/time/time.h>
 
 #include <cstdint>
@@ -11,13 +13,6 @@
 
 namespace godwitlift {
 
-/// Position in the store's total order of transactions, within one era.
-using StoreRevision = std::uint64_t;
-
-/// Counts how often the store has returned from a copy, which gives revisions out again. 0 if the
-/// store does not state it.
-using StoreEra = std::uint64_t;
-
 /// How a call to the store ended.
 enum class StoreOutcome : std::uint8_t {
     Done,
@@ -55,6 +50,7 @@
     std::optional<StoreRevision> expectedRevision;
     StoreRevision afterRevision = 0; ///< For Watch: return changes after this revision.
     absl::Duration watchTimeout;     ///< For Watch: how long to wait for the first change.
+    bool isOnNewConnection = false;  ///< An open connection may have gone silent unnoticed.
 };
 
 /// Stable lower-case name for logs and metrics.
--- a/packages/node/src/peers/PeerLink.cpp
+++ b/packages/node/src/peers/PeerLink.cpp
@@ -89,6 +89,7 @@
                                            static_cast<FrameObserver &>(*this));
     m_connectingSocket = TcpSocket(m_loop.get_executor());
     m_probe.onConnected(steadyNow());
+    m_transitDelayEstimator = TransitDelayEstimator();
     m_channel->start();
     if (m_channel != nullptr)
         m_channel->send(m_observer.makeHello(m_host.host));
@@ -190,6 +191,11 @@
         m_observer.onGateReport(*this, decodeGateReport(frame.gate_state()));
         m_observer.onLinkFrame(*this, frame);
         break;
+    case mesh::Frame::kConfigurationConfirmed:
+        m_observer.onConfigurationConfirmed(
+                *this, decodeConfirmation(frame.configuration_confirmed(), suspendAwareNow(),
+                                          m_transitDelayEstimator));
+        break;
     case mesh::Frame::kRequestRefused: {
         const auto observer = findObserver(frame.request_refused().attempt());
         m_attemptObservers.erase(frame.request_refused().attempt());
--- a/packages/node/src/peers/PeerLink.h
+++ b/packages/node/src/peers/PeerLink.h
@@ -29,6 +29,8 @@
     virtual void onGateReport(PeerLink &link, const GateReport &report) = 0;
     /// Load that was reported with the end of an answer.
     virtual void onLoadReport(PeerLink &link, const GateLoadReport &report) = 0;
+    virtual void onConfigurationConfirmed(PeerLink &link,
+                                          const ConfigurationConfirmation &confirmation) = 0;
     /// Called for hello and gate reports, and for every frame that the link does not handle itself.
     virtual void onLinkFrame(PeerLink &link, const mesh::Frame &frame) = 0;
     virtual mesh::Frame makeHello(const HostId &host) = 0;
@@ -84,6 +86,7 @@
     bool m_isUp = false; ///< True once the hello of the peer has arrived.
     bool m_isConnecting = false;
     LinkProbe m_probe;
+    TransitDelayEstimator m_transitDelayEstimator; ///< Of the frames on the present connection.
     absl::Duration m_reconnectDelay;
     absl::Time m_downSince;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< False after destruction.
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -314,6 +314,7 @@
     m_wasStoreFailing = isStoreFailing;
     m_drainReplicator.tick();
     updateWatchRole();
+    m_configurationUpdater->tick();
     requestNewerConfiguration();
 }
 
@@ -395,6 +396,25 @@
     m_quarantineStore.remove(content);
 }
 
+void PeerMesh::confirmConfiguration(const ConfigurationConfirmation &confirmation)
+{
+    const mesh::Frame frame = encodeConfirmation(confirmation, suspendAwareNow());
+    for (const auto &[key, session] : m_sessions) {
+        if (session->peerZone() == m_options.ownHost.zone)
+            session->send(frame);
+    }
+}
+
+void PeerMesh::onConfigurationConfirmed(PeerLink &link,
+                                        const ConfigurationConfirmation &confirmation)
+{
+    m_configurationUpdater->onPeerConfirmation(confirmation);
+    if (confirmation.version <= m_configurationUpdater->version())
+        return;
+    m_peerStates[link.host().host].configurationVersion = confirmation.version;
+    requestNewerConfiguration();
+}
+
 void PeerMesh::onCrashReported(const HostId &host, const AgedCrash &crash)
 {
     const absl::Time now = steadyNow();
@@ -558,8 +578,8 @@
             peers.push_back(
                     { host, link->second->host().zone, state.isStoreFailing, state.linkMbps });
     }
-    m_configurationUpdater->setWatching(
-            isWatcher({ m_options.ownHost.host, m_options.ownHost.zone,
+    m_configurationUpdater->setRole(
+            watchRole({ m_options.ownHost.host, m_options.ownHost.zone,
                         m_configurationUpdater->isStoreFailing(), m_options.linkMbps },
                       peers));
 }
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -56,6 +56,8 @@
     void broadcastCrash(const ServerCrash &crash);
     /// Tells all peers that a request under which servers had ended has been answered.
     void broadcastAnswered(ContentDigest content);
+    /// Tells the peers of the own availability zone which version is the newest one.
+    void confirmConfiguration(const ConfigurationConfirmation &confirmation);
     DrainReplicator &drainReplicator() { return m_drainReplicator; }
     /// Tells peers that this node shuts down. Deletes its row in the store if \p deletesHostRow,
     /// which is for a host that is not expected to return.
@@ -104,6 +106,8 @@
     void onLinkLost(PeerLink &link, std::string_view cause) override;
     void onGateReport(PeerLink &link, const GateReport &report) override;
     void onLoadReport(PeerLink &link, const GateLoadReport &report) override;
+    void onConfigurationConfirmed(PeerLink &link,
+                                  const ConfigurationConfirmation &confirmation) override;
     void onLinkFrame(PeerLink &link, const mesh::Frame &frame) override;
     mesh::Frame makeHello(const HostId &host) override;
     void onSessionFrame(PeerSession &session, const mesh::Frame &frame) override;
--- a/packages/node/src/peers/PeerMessages.cpp
+++ b/packages/node/src/peers/PeerMessages.cpp
@@ -251,6 +251,34 @@
 
 } // namespace
 
+mesh::Frame encodeConfirmation(const ConfigurationConfirmation &confirmation, absl::Duration now)
+{
+    mesh::Frame frame;
+    mesh::ConfigurationConfirmed &message = *frame.mutable_configuration_confirmed();
+    message.set_version(confirmation.version.value());
+    message.set_store_era(confirmation.position.era);
+    message.set_store_revision(confirmation.position.revision);
+    message.set_sent_us(static_cast<std::uint64_t>(absl::ToInt64Microseconds(now)));
+    message.set_age_us(static_cast<std::uint64_t>(
+            absl::ToInt64Microseconds(std::max(now - confirmation.asOf, absl::ZeroDuration()))));
+    return frame;
+}
+
+ConfigurationConfirmation decodeConfirmation(const mesh::ConfigurationConfirmed &message,
+                                             absl::Duration now,
+                                             TransitDelayEstimator &transitDelayEstimator)
+{
+    const auto sent = absl::Microseconds(static_cast<std::int64_t>(message.sent_us()));
+    const absl::Duration delay = transitDelayEstimator.observe(sent, now);
+    // An age beyond any lease; a larger one would overflow.
+    constexpr std::uint64_t MaxAgeUs = 3'600'000'000;
+    const auto age =
+            absl::Microseconds(static_cast<std::int64_t>(std::min(message.age_us(), MaxAgeUs)));
+    return { Version(message.version()),
+             { message.store_era(), message.store_revision() },
+             now - delay - age };
+}
+
 mesh::Frame encodeConfigurationChanges(const ConfigurationChanges &changes)
 {
     mesh::Frame frame;
--- a/packages/node/src/peers/PeerMessages.h
+++ b/packages/node/src/peers/PeerMessages.h
@@ -5,6 +5,7 @@
 #include "gate/Attempt.h"
 #include "mesh.pb.h"
 
+#include "godwitlift/traffic/ConfigurationLease.h"
 #include "godwitlift/traffic/ConfigurationReplica.h"
 #include "godwitlift/traffic/CrashHistory.h"
 #include "godwitlift/traffic/FinishTimeSelector.h"
@@ -58,6 +59,13 @@
 GateReport decodeGateReport(const mesh::GateState &message);
 NodeState decodeNodeState(const mesh::GateState &message);
 
+mesh::Frame encodeConfirmation(const ConfigurationConfirmation &confirmation, absl::Duration now);
+/// \p now is the receiver's clock. The age includes the delay that \p transitDelayEstimator
+/// estimates for the message.
+ConfigurationConfirmation decodeConfirmation(const mesh::ConfigurationConfirmed &message,
+                                             absl::Duration now,
+                                             TransitDelayEstimator &transitDelayEstimator);
+
 mesh::Frame encodeConfigurationChanges(const ConfigurationChanges &changes);
 /// Skips routes without a destination; the digest of the changes then does not match.
 ConfigurationChanges decodeConfigurationChanges(const mesh::ConfigurationChanges &message);
--- a/packages/node/src/runtime/ConfigurationUpdater.cpp
+++ b/packages/node/src/runtime/ConfigurationUpdater.cpp
@@ -9,78 +9,89 @@
 /// A failed call older than this does not count as a failure of the store any more.
 constexpr absl::Duration FailureValidity = absl::Seconds(5);
 
+WatchResult watchResultOf(const StoreAnswer &answer)
+{
+    if (answer.outcome == StoreOutcome::HistoryGone)
+        return WatchResult::HistoryGone;
+    if (answer.outcome != StoreOutcome::Done)
+        return WatchResult::Failed;
+    return answer.rows.empty() ? WatchResult::Unchanged : WatchResult::Changed;
+}
+
 } // namespace
 
 ConfigurationUpdater::ConfigurationUpdater(asio::io_context &loop, StoreClient &store,
-                                           const PlatformProtocol &protocol, RandomSource &random,
+                                           const PlatformProtocol &protocol,
+                                           const ConfigurationLease &lease, RandomSource &random,
                                            RateLimitedLog &log, NodeMetrics &metrics,
-                                           AppliedCallback onApplied)
+                                           AppliedCallback onApplied, ConfirmedCallback onConfirmed)
     : m_store(store)
     , m_protocol(protocol)
     , m_log(log)
     , m_metrics(metrics)
     , m_onApplied(std::move(onApplied))
-    , m_watch(random)
+    , m_onConfirmed(std::move(onConfirmed))
+    , m_follower(lease, random)
     , m_timer(loop.get_executor())
 {}
 
 void ConfigurationUpdater::start(bool isFirstStart)
 {
-    m_nextRequest = m_watch.firstRequest(isFirstStart);
-    m_mayDelegate = isFirstStart;
-    scheduleRequest(m_nextRequest);
+    m_isStarted = true;
+    m_follower.start(isFirstStart, suspendAwareNow());
+    tick();
 }
 
-void ConfigurationUpdater::setWatching(bool isWatching)
+void ConfigurationUpdater::setRole(const WatchRole &role)
 {
-    if (isWatching == m_isWatching)
+    const bool wasWatching = m_follower.role().isWatching;
+    m_follower.setRole(role);
+    if (role.isWatching == wasWatching)
         return;
-    m_isWatching = isWatching;
     m_log.write("watching",
                 LogLine("watching")
-                        .add("active", isWatching ? "yes" : "no")
-                        .add("version", version().value()),
+                        .add("active", role.isWatching ? "yes" : "no")
+                        .add("version", version().value())
+                        .add("unconfirmed_ms", timeSinceConfirmed()),
                 steadyNow());
-    if (m_isWatching && (!m_isRequestPending || m_isDelegated))
-        scheduleRequest(m_nextRequest);
 }
 
 bool ConfigurationUpdater::isStoreFailing() const
 {
-    return m_watch.isFailing() && steadyNow() - m_lastAnswerTime < FailureValidity;
+    return m_follower.isStoreFailing() && steadyNow() - m_lastAnswerTime < FailureValidity;
 }
 
-void ConfigurationUpdater::scheduleRequest(const WatchRequest &watchRequest)
+void ConfigurationUpdater::tick()
 {
-    m_isRequestPending = true;
-    expireAfter(m_timer, watchRequest.delay);
-    m_timer.async_wait([this, watchRequest](const boost::system::error_code &error) {
-        if (error)
-            return;
-        if (!m_isWatching && version() != Version()) {
-            m_isRequestPending = false;
-            return;
-        }
-        if (!m_isWatching && m_mayDelegate) {
-            // The watcher passes the configuration on; this is for the case that it cannot.
-            m_mayDelegate = false;
-            m_isDelegated = true;
-            scheduleRequest(m_watch.delegatedRequest(watchRequest));
-            return;
-        }
-        m_isDelegated = false;
-        StoreRequest request;
-        request.kind = watchRequest.isWatch ? StoreRequest::Kind::Watch : StoreRequest::Kind::List;
-        request.table = m_protocol.configurationTable();
-        request.afterRevision = watchRequest.afterRevision;
-        request.watchTimeout = watchRequest.longPollTimeout;
-        m_store.call(std::move(request),
-                     [this, sent = steadyNow(), isWatch = watchRequest.isWatch](
-                             const StoreAnswer &answer) { onStoreAnswer(answer, sent, isWatch); });
+    if (!m_isStarted)
+        return;
+    while (const auto call = m_follower.tick(suspendAwareNow()))
+        sendCall(*call);
+    const absl::Duration nextTick = m_follower.nextTick();
+    if (nextTick == absl::InfiniteDuration()) {
+        m_timer.cancel();
+        return;
+    }
+    expireAfter(m_timer, nextTick - suspendAwareNow());
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            tick();
     });
 }
 
-void ConfigurationUpdater::logRead(const StoreAnswer &answer, absl::Duration waited, bool isWatch)
+void ConfigurationUpdater::sendCall(const FollowerCall &call)
+{
+    StoreRequest request;
+    request.kind = call.request.isWatch ? StoreRequest::Kind::Watch : StoreRequest::Kind::List;
+    request.table = m_protocol.configurationTable();
+    request.afterRevision = call.request.after.revision;
+    request.watchTimeout = call.request.longPollTimeout;
+    request.isOnNewConnection = !call.request.isLongPoll();
+    m_store.call(std::move(request),
+                 [this, call](const StoreAnswer &answer) { onStoreAnswer(answer, call); });
+}
+
+void ConfigurationUpdater::logRead(const StoreAnswer &answer, const FollowerCall &call)
 {
     if (answer.era != 0 && answer.era != m_storeEra) {
         m_log.write("store-era",
@@ -95,40 +106,39 @@
         return;
     m_log.write("configuration-read",
                 LogLine("configuration-read")
-                        .add("call", isWatch ? "watch" : "list")
+                        .add("call", call.request.isWatch ? "watch" : "list")
                         .add("outcome", name(answer.outcome))
-                        .add("waited_ms", waited)
+                        .add("waited_ms", suspendAwareNow() - call.sent)
                         .add("rows", answer.rows.size())
                         .add("revision", answer.revision)
-                        .add("in_force", version().value()),
+                        .add("in_force", version().value())
+                        .add("unconfirmed_ms", timeSinceConfirmed()),
                 steadyNow());
 }
 
-void ConfigurationUpdater::onStoreAnswer(const StoreAnswer &answer, absl::Time sent, bool isWatch)
+void ConfigurationUpdater::onStoreAnswer(const StoreAnswer &answer, const FollowerCall &call)
 {
-    logRead(answer, steadyNow() - sent, isWatch);
-    if (answer.outcome == StoreOutcome::Done)
-        m_lastReadTime = steadyNow();
-    const bool wasFailing = m_watch.isFailing();
-    WatchResult result = WatchResult::Failed;
-    if (answer.outcome == StoreOutcome::HistoryGone)
-        result = WatchResult::HistoryGone;
-    else if (answer.outcome == StoreOutcome::Done)
-        result = answer.rows.empty() ? WatchResult::Unchanged : WatchResult::Changed;
-    m_nextRequest = m_watch.onResult(result, answer.revision);
-    m_mayDelegate = true;
+    logRead(answer, call);
+    const bool wasFailing = m_follower.isStoreFailing();
     m_lastAnswerTime = steadyNow();
-    if (wasFailing != m_watch.isFailing()) {
-        m_log.write("store",
-                    LogLine(m_watch.isFailing() ? "store-lost" : "store-regained")
-                            .add("outcome", name(answer.outcome)),
-                    steadyNow());
-    }
+    if (answer.outcome == StoreOutcome::Done)
+        m_lastReadTime = m_lastAnswerTime;
     for (const StoreRow &row : answer.rows) {
         if (row.key == m_protocol.configurationKey() && !row.isDeleted)
             applyDocument(row.value);
     }
-    scheduleRequest(m_nextRequest);
+    const auto confirmation =
+            m_follower.onAnswer(call, watchResultOf(answer), { answer.era, answer.revision },
+                                version(), suspendAwareNow());
+    if (wasFailing != m_follower.isStoreFailing()) {
+        m_log.write("store",
+                    LogLine(m_follower.isStoreFailing() ? "store-lost" : "store-regained")
+                            .add("outcome", name(answer.outcome)),
+                    steadyNow());
+    }
+    if (confirmation)
+        m_onConfirmed(*confirmation);
+    tick();
 }
 
 void ConfigurationUpdater::applyDocument(std::string_view document)
@@ -156,8 +166,11 @@
 {
     const Version previous = version();
     const ApplyResult result = m_replica.applyChanges(changes);
-    if (result == ApplyResult::Applied)
+    if (result == ApplyResult::Applied) {
         reportApplied(previous, source);
+        m_follower.onVersionFromPeer(version());
+        tick();
+    }
     if (result == ApplyResult::Applied || result == ApplyResult::Stale)
         return true;
     m_log.write("configuration-refused",
@@ -171,6 +184,12 @@
     return false;
 }
 
+void ConfigurationUpdater::onPeerConfirmation(const ConfigurationConfirmation &confirmation)
+{
+    m_follower.onPeerConfirmation(confirmation, version());
+    tick();
+}
+
 void ConfigurationUpdater::reportApplied(Version previous, std::string_view source)
 {
     m_log.write("configuration-in-force",
@@ -178,7 +197,8 @@
                         .add("version", version().value())
                         .add("before", previous.value())
                         .add("source", source)
-                        .add("routes", m_replica.current()->routeCount()),
+                        .add("routes", m_replica.current()->routeCount())
+                        .add("unconfirmed_ms", timeSinceConfirmed()),
                 steadyNow());
     m_onApplied(m_replica.current());
 }
--- a/packages/node/src/runtime/ConfigurationUpdater.h
+++ b/packages/node/src/runtime/ConfigurationUpdater.h
@@ -6,8 +6,8 @@
 #include "report/RateLimitedLog.h"
 #include "store/StoreClient.h"
 
+#include "godwitlift/traffic/ConfigurationFollower.h"
 #include "godwitlift/traffic/ConfigurationReplica.h"
-#include "godwitlift/traffic/ConfigurationWatch.h"
 
 #include <functional>
 #include <memory>
@@ -15,8 +15,8 @@
 
 namespace godwitlift {
 
-/// Holds the configuration in force on this node. Watches the store while setWatching() has
-/// enabled this, and applies changes sent by peers.
+/// Holds the configuration in force on this node. Makes the calls to the store that
+/// ConfigurationFollower decides on, and applies changes sent by peers.
 ///
 /// Invariants: only a higher version replaces the one in force; a version that cannot be decoded
 /// is refused entirely and the one in force stays.
@@ -25,18 +25,26 @@
 public:
     /// Receives each catalogue when it comes into force.
     using AppliedCallback = std::function<void(std::shared_ptr<const RouteCatalogue>)>;
+    /// Receives what this node has learnt from the store for the other nodes of its zone.
+    using ConfirmedCallback = std::function<void(const ConfigurationConfirmation &)>;
 
     ConfigurationUpdater(asio::io_context &loop, StoreClient &store,
-                         const PlatformProtocol &protocol, RandomSource &random,
-                         RateLimitedLog &log, NodeMetrics &metrics, AppliedCallback onApplied);
+                         const PlatformProtocol &protocol, const ConfigurationLease &lease,
+                         RandomSource &random, RateLimitedLog &log, NodeMetrics &metrics,
+                         AppliedCallback onApplied, ConfirmedCallback onConfirmed);
 
     /// Reads the store once, whether or not this node watches it. If the whole system starts for
     /// the first time, that is left to the nodes that watch.
     void start(bool isFirstStart);
-    /// Sets whether this node watches the store on behalf of its zone.
-    void setWatching(bool isWatching);
+    /// Sets whether this node watches the store on behalf of its zone, and its place among those
+    /// that stand in for the watchers.
+    void setRole(const WatchRole &role);
+    /// Makes the calls that are due. Call it several times a second, so that they are also made in
+    /// time after the host was suspended.
+    void tick();
     /// Applies changes sent by a peer. Returns false if a snapshot has to be requested instead.
     bool applyChanges(const ConfigurationChanges &changes, std::string_view source);
+    void onPeerConfirmation(const ConfigurationConfirmation &confirmation);
     ConfigurationChanges changesSince(Version version) const
     {
         return m_replica.changesSince(version);
@@ -46,11 +54,13 @@
     bool isStoreFailing() const;
     /// Time since the store has last told this node its newest version; infinite if never.
     absl::Duration timeSinceRead() const { return steadyNow() - m_lastReadTime; }
+    /// Time since the version in force was the newest one for certain; infinite if never.
+    absl::Duration timeSinceConfirmed() const { return m_follower.age(suspendAwareNow()); }
 
 private:
-    void scheduleRequest(const WatchRequest &watchRequest);
-    void onStoreAnswer(const StoreAnswer &answer, absl::Time sent, bool isWatch);
-    void logRead(const StoreAnswer &answer, absl::Duration waited, bool isWatch);
+    void sendCall(const FollowerCall &call);
+    void onStoreAnswer(const StoreAnswer &answer, const FollowerCall &call);
+    void logRead(const StoreAnswer &answer, const FollowerCall &call);
     void applyDocument(std::string_view document);
     void reportApplied(Version previous, std::string_view source);
 
@@ -59,17 +69,14 @@
     RateLimitedLog &m_log;
     NodeMetrics &m_metrics;
     AppliedCallback m_onApplied;
-    ConfigurationWatch m_watch;
+    ConfirmedCallback m_onConfirmed;
+    ConfigurationFollower m_follower;
     ConfigurationReplica m_replica;
-    LoopTimer m_timer;
-    bool m_isWatching = true;
-    bool m_isDelegated = false; ///< The scheduled call is only for the case that the watchers fail.
-    bool m_mayDelegate = false; ///< The next request may be left to the watchers for some time.
-    bool m_isRequestPending = false;                    ///< A call is in progress or scheduled.
-    WatchRequest m_nextRequest;                         ///< The next call while watching.
+    LoopTimer m_timer;                                  ///< Expires when the follower is due.
     absl::Time m_lastAnswerTime = absl::InfinitePast(); ///< Successful or not.
     absl::Time m_lastReadTime = absl::InfinitePast();   ///< Latest successful answer.
     StoreEra m_storeEra = 0;                            ///< Of the latest answer that stated it.
+    bool m_isStarted = false;
 };
 
 } // namespace godwitlift
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -105,7 +105,8 @@
 class Node final : public MeshNode, private GateListener
 {
 public:
-    Node(MeshSettings settings, const PlatformProtocol &protocol, std::string settingsFile)
+    Node(MeshSettings settings, const PlatformProtocol &protocol, const ConfigurationLease &lease,
+         std::string settingsFile)
         : m_settings(std::move(settings))
         , m_protocol(protocol)
         , m_settingsFile(std::move(settingsFile))
@@ -132,8 +133,9 @@
                       m_settings.retryRule },
                     m_selector, m_mesh, m_log, m_metrics, m_random)
         , m_configurationUpdater(
-                  m_loop, m_store, protocol, m_random, m_log, m_metrics,
-                  [this](auto catalogue) { onConfigurationApplied(std::move(catalogue)); })
+                  m_loop, m_store, protocol, lease, m_random, m_log, m_metrics,
+                  [this](auto catalogue) { onConfigurationApplied(std::move(catalogue)); },
+                  [this](const auto &confirmation) { m_mesh.confirmConfiguration(confirmation); })
         , m_announcementService(protocol, m_settings.service, m_settings.backendServerAddress,
                                 m_gate, m_mesh.drainReplicator(), m_log, m_metrics)
         , m_readinessService(protocol)
@@ -300,6 +302,8 @@
                            static_cast<double>(m_configurationUpdater.version().value()));
         m_metrics.setGauge("configuration_read_age_seconds",
                            absl::ToDoubleSeconds(m_configurationUpdater.timeSinceRead()));
+        m_metrics.setGauge("configuration_confirmed_age_seconds",
+                           absl::ToDoubleSeconds(m_configurationUpdater.timeSinceConfirmed()));
         m_metrics.setGauge("links_up", static_cast<double>(m_mesh.openLinkCount()));
         m_metrics.setGauge("known_nodes", static_cast<double>(m_mesh.nodeCount()));
         m_metrics.setGauge("client_connections",
@@ -486,7 +490,9 @@
     // Malformed bytes from peers must not cause unbounded log output by protobuf. A malformed frame
     // closes its link and is logged there.
     google::protobuf::SetLogHandler(nullptr);
-    auto node = std::make_unique<Node>(std::move(settings), protocol, std::move(settingsFile));
+    BOOST_LEAF_AUTO(lease, ConfigurationLease::create(settings.configurationApplyLimit));
+    auto node =
+            std::make_unique<Node>(std::move(settings), protocol, lease, std::move(settingsFile));
     BOOST_LEAF_CHECK(node->listen());
     return std::unique_ptr<MeshNode>(std::move(node));
 }
--- a/packages/node/src/runtime/MeshSettings.cpp
+++ b/packages/node/src/runtime/MeshSettings.cpp
@@ -3,6 +3,7 @@
 #include "godwitlift/node/MeshSettings.h"
 
 #include "godwitlift/json/ObjectReader.h"
+#include "godwitlift/traffic/ConfigurationLease.h"
 #include "http/Network.h"
 
 namespace godwitlift {
@@ -42,6 +43,14 @@
     ObjectReader reader(object, "bounds", faults);
     settings.announcementInterval = readDuration(reader, "announcement_interval");
     settings.stopTimeout = readDuration(reader, "stop_timeout");
+    if (reader.has("configuration_apply_limit")) {
+        settings.configurationApplyLimit = readDuration(reader, "configuration_apply_limit");
+        std::string problem;
+        if (!valueOrErrorText(
+                    [&] { return ConfigurationLease::create(settings.configurationApplyLimit); },
+                    problem))
+            reader.addFault("configuration_apply_limit", problem);
+    }
     settings.retryRule.ratio = reader.number("retry_ratio", 0, 10, 0);
     settings.retryRule.slack = reader.number("retry_slack", 0, 1e6, 0);
     settings.retryRule.window = readDuration(reader, "retry_window");
--- a/packages/node/src/store/StoreClient.cpp
+++ b/packages/node/src/store/StoreClient.cpp
@@ -63,7 +63,7 @@
     void start(std::list<std::shared_ptr<Call>>::iterator position)
     {
         m_position = position;
-        m_connection = m_client.acquireConnection();
+        m_connection = m_client.acquireConnection(m_request.isOnNewConnection);
         expireAfter(m_timer, m_request.watchTimeout + AnswerTimeout);
         m_timer.async_wait([this, weak = std::weak_ptr<Call>(*position)](
                                    const boost::system::error_code &error) {
@@ -98,8 +98,11 @@
     }
     void onResponseComplete() override
     {
-        if (!m_connection->isClosed())
+        if (!m_connection->isClosed()) {
+            if (m_client.m_idleConnection != nullptr)
+                m_client.m_idleConnection->close();
             m_client.m_idleConnection = m_connection;
+        }
         StoreAnswer answer = m_client.m_protocol.decodeStoreAnswer(m_request, m_status, m_body);
         answer.era = m_era;
         complete(answer);
@@ -151,11 +154,11 @@
         m_idleConnection->close();
 }
 
-std::shared_ptr<BackendConnection> StoreClient::acquireConnection()
+std::shared_ptr<BackendConnection> StoreClient::acquireConnection(bool isNew)
 {
     auto idle = std::move(m_idleConnection);
     m_idleConnection.reset();
-    if (idle != nullptr && idle->isReusable()
+    if (!isNew && idle != nullptr && idle->isReusable()
         && steadyNow() - idle->idleSince() < MaxConnectionIdleTime)
         return idle;
     if (idle != nullptr)
--- a/packages/node/src/store/StoreClient.h
+++ b/packages/node/src/store/StoreClient.h
@@ -30,7 +30,7 @@
     class Call;
     friend class Call;
 
-    std::shared_ptr<BackendConnection> acquireConnection();
+    std::shared_ptr<BackendConnection> acquireConnection(bool isNew);
 
     asio::io_context &m_loop;
     asio::ip::tcp::endpoint m_store;
