--- a/tests/platform/WireDecodingTests.cpp
+++ b/tests/platform/WireDecodingTests.cpp
@@ -76,6 +76,24 @@
     CHECK_FALSE(decodeCall("POST", HeartbeatPath + "i-1", "\x93\x01").has_value());
 }
 
+// Guards against an id that cannot be stored or sent on, which ended the process (review case 1).
+TEST_CASE("a call whose id is not visible ASCII is refused")
+{
+    for (const std::string &id :
+         { std::string("i-\xfe\xff"), std::string("\xed\xa0\x80"), std::string("i-\x01"),
+           std::string("i-\0x", 4), std::string("i\x7f"), std::string("i-\xc3\xa9"),
+           std::string(201, 'i') }) {
+        for (const char *state : { "ready", "draining" }) {
+            auto document = heartbeat();
+            document["state"] = state;
+            CHECK_FALSE(decodeCall("POST", HeartbeatPath + id, document.dump()).has_value());
+        }
+        CHECK_FALSE(decodeCall("POST", "/godwitlift/Instances.Deregister/" + id, "").has_value());
+    }
+    CHECK(decodeCall("POST", HeartbeatPath + std::string(200, 'i'), heartbeat().dump())
+                  .has_value());
+}
+
 TEST_CASE("rows that cannot be decoded are skipped and counted")
 {
     const auto protocol = createPlatformProtocol();
--- a/tests/process/drains.py
+++ b/tests/process/drains.py
@@ -6,6 +6,7 @@
 Exit code 0 if the scenario holds. The nodes' logs are printed if it does not."""
 
 import asyncio
+import json
 
 from deployment import can_connect, run_scenario, wait_until
 
@@ -208,6 +209,79 @@
     await node_restart_after_deregistration(deployment)
 
 
+def odd_values(key):
+    """Values of another writer for the row \\p key: too deep, too large, out of range or no text."""
+    nested = b'[' * 30000 + b']' * 30000
+    port = {"host": key, "address": "127.0.0.1:70000", "zone": "zone-0"}
+    return [nested, b'{"host":' * 5000, b'{"host":"' + key.encode() + b'","address":1e999,"zone":"zone-0"}',
+            json.dumps(port).encode(), json.dumps({**port, "address": "127.0.0.1:-1"}).encode(),
+            b'{"host":"\xfe\xff","address":"127.0.0.1:1","zone":"\xfe"}', b"\xfe\xff", b"",
+            b'[{"server":"i-9","started_ms":99999999999999999999999}]',
+            b'[{"server":"i-9","started_ms":-9223372036854775808}]',
+            b'{"processes":["ffffffffffffffffffff"],"last_crash_ms":18446744073709551615}',
+            b'{"processes":["1"],"last_crash_ms":1e400}', b"null", b"true"]
+
+
+async def call_with_raw_target(port, target, body):
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"POST /godwitlift/" + target + b" HTTP/1.1\r\nHost: n\r\nContent-Length: "
+                     + str(len(body)).encode() + b"\r\n\r\n" + body)
+        assert await asyncio.wait_for(reader.read(1), 2), f"no answer to a call of {target!r}"
+        writer.close()
+    except OSError as error:
+        raise AssertionError(f"no answer to a call of {target!r}: {error}") from error
+
+
+async def check_alive(deployment):
+    for host in deployment.hosts:
+        assert host.process.poll() is None, f"{host.name} has ended by itself: {host.process.poll()}"
+
+
+# Guards against entries of another writer that end the nodes which read them, or keep them from following
+# the store (report of another operator; review case 1).
+async def odd_entries_of_another_writer(deployment):
+    def put_odd_rows():
+        for table in ("gl-hosts", "gl-drains", "gl-quarantine", "servers", "op"):
+            for number, value in enumerate(odd_values("odd-3")):
+                deployment.store.put(table, f"odd-{number}", value)
+        deployment.store.put("gl-drains", deployment.hosts[0].name, odd_values("x")[0])
+
+    for host in deployment.hosts:
+        await host.backend.announce(host.announcement_port)
+        await deployment.wait_until_served(host, host.backend.id)
+    put_odd_rows()
+    heartbeat = {"service": "desk", "address": deployment.hosts[0].backend.address, "zone": "z",
+                 "version": "v1", "slots": 8, "cold_remaining": "0ms", "sequence": 1,
+                 "born": deployment.hosts[0].backend.started_unix_ms}
+    for state in ("draining", "ready"):
+        odd_members = [{"slots": 10 ** 30}, {"sequence": 10 ** 30}, {"born": 10 ** 30}, {"born": "x"},
+                       {"address": "127.0.0.1:70000"}, {"zone": [[[[]]]] * 9}, {"cold_remaining": "1e999s"}]
+        for odd in [{}] + odd_members:
+            body = json.dumps({**heartbeat, "state": state, **odd}).encode()
+            for server in (b"i-\xfe\xff", b"i-%fe", b"i-\x01", b"\xed\xa0\x80"):
+                await call_with_raw_target(deployment.hosts[0].announcement_port,
+                                           b"Instances.Heartbeat/" + server, body)
+        for body in odd_values("odd-3"):
+            await call_with_raw_target(deployment.hosts[0].announcement_port, b"Instances.Heartbeat/i-8", body)
+    for server in (b"i-\xfe\xff", b"\xed\xa0\x80"):
+        await call_with_raw_target(deployment.hosts[0].announcement_port, b"Instances.Deregister/" + server, b"")
+    await asyncio.sleep(1)
+    await check_alive(deployment)
+    # Nodes that start now read all of it.
+    for host in deployment.hosts:
+        await host.restart()
+        await host.backend.announce(host.announcement_port)
+    for host in deployment.hosts:
+        await deployment.wait_until_served(host, host.backend.id)
+    deployment.publish()
+    for host in deployment.hosts:
+        async def is_in_force(host=host):
+            return await deployment.send_request(host, target=f"/v{deployment.version}/x") == 200
+        await wait_until(is_in_force, f"version {deployment.version} at {host.name}")
+    await check_alive(deployment)
+
+
 SCENARIOS = {function.__name__: (function, host_count) for function, host_count in (
     (late_announcement_of_a_deregistered_server_that_was_known_from_its_probe, 1),
     (node_restart_after_deregistration, 1),
@@ -219,7 +293,8 @@
     (request_that_crashes_servers_at_any_host, 3),
     (request_that_crashes_servers_over_a_restart_of_all_nodes, 3),
     (first_start_makes_few_store_calls, 6),
-    (restart_after_deregistration_during_a_first_start, 1))}
+    (restart_after_deregistration_during_a_first_start, 1),
+    (odd_entries_of_another_writer, 3))}
 
 
 def main():
