Take a refusal only for the request that it names

What callers would see: a faulty server that writes an earlier refusal once more on a kept connection made the node answer 503, "not run", for a request that the server was running, or send it to a second server.

Cause: a refusal without an id was matched by its position, and a request that had been refused could be sent again on the same connection, where the repeated refusal names the same id.

Change: a refusal without an id counts only as the first response on its connection; otherwise the exchange fails as one that may have run. A request is not sent again on a connection that has refused it, and a connection that has refused 64 requests is not used again.

--- a/packages/node/src/gate/BackendConnection.cpp
+++ b/packages/node/src/gate/BackendConnection.cpp
@@ -7,6 +7,8 @@
 #include <absl/strings/numbers.h>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+
 namespace godwitlift {
 
 namespace {
@@ -16,6 +18,8 @@
 /// Bytes of responses to other requests that are skipped to reach the matching one; more than the
 /// largest response that may arrive late.
 constexpr std::size_t SkippedBytesLimit = std::size_t(4) * 1024 * 1024;
+/// Refused requests after which a connection is not used again, so that none has to be forgotten.
+constexpr std::size_t RefusedRequestLimit = 64;
 
 } // namespace
 
@@ -169,6 +173,19 @@
         waitUntilReadable();
 }
 
+bool BackendConnection::hasRefused(const std::string &requestId) const
+{
+    return std::find(m_refusedRequestIds.begin(), m_refusedRequestIds.end(), requestId)
+           != m_refusedRequestIds.end();
+}
+
+bool BackendConnection::isRefusal() const
+{
+    // 421 comes from another backend server at the same address.
+    return m_parser->head().status == 421
+           || m_parser->head().fields.find(m_headerNames.notExecuted).has_value();
+}
+
 bool BackendConnection::hasMatchingRequestId() const
 {
     if (m_requestId.empty())
@@ -206,6 +223,11 @@
         if (m_parser->hasHead() && !m_isHeadReported) {
             m_isHeadReported = true;
             m_isStaleResponse = !hasMatchingRequestId();
+            const bool isNamed = m_parser->head().fields.find(m_headerNames.requestId).has_value();
+            if (!isNamed && !m_isFirstExchange && isRefusal()) {
+                failExchange(Reason::AnswerMismatched);
+                return;
+            }
             if (!m_isStaleResponse) {
                 readKeepAliveTimeout();
                 m_observer->onResponseHead(m_parser->head());
@@ -241,7 +263,11 @@
 {
     BackendExchangeObserver *observer = m_observer;
     m_observer = nullptr;
-    const bool isReusable = m_parser->head().isKeepAlive && m_input.empty() && m_isRequestWritten;
+    if (isRefusal())
+        m_refusedRequestIds.push_back(m_requestId);
+    const bool isReusable = m_parser->head().isKeepAlive && m_input.empty() && m_isRequestWritten
+                            && m_refusedRequestIds.size() < RefusedRequestLimit;
+    m_isFirstExchange = false;
     m_parser.reset();
     m_idleSince = steadyNow();
     if (m_isRequestWritten && !isReusable)
--- a/packages/node/src/gate/BackendConnection.h
+++ b/packages/node/src/gate/BackendConnection.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace godwitlift {
 
@@ -27,6 +28,10 @@
 };
 
 /// Sends one request at a time. A response that carries another request's id is discarded.
+///
+/// A faulty server may write an earlier response once more. Therefore a refusal to run a request
+/// counts only if it names the request, or is the first response on the connection; and a request
+/// that was refused here must not be sent here again.
 class BackendConnection final : public std::enable_shared_from_this<BackendConnection>
 {
 public:
@@ -48,6 +53,8 @@
     bool isClosed() const { return m_isClosed; }
     /// True if the connection is idle and another request may be sent on it.
     bool isReusable() const { return isOpen() && !isBusy() && m_isRequestWritten; }
+    /// True if a request with this id was refused on this connection.
+    bool hasRefused(const std::string &requestId) const;
     absl::Time idleSince() const { return m_idleSince; }
     /// Idle timeout from the server's `Keep-Alive` header; infinite if it states none.
     absl::Duration keepAliveTimeout() const { return m_keepAliveTimeout; }
@@ -58,6 +65,7 @@
     void waitUntilReadable();
     void onReadable(const boost::system::error_code &error);
     void parseInput();
+    bool isRefusal() const;
     bool hasMatchingRequestId() const;
     void readKeepAliveTimeout();
     void completeExchange();
@@ -83,6 +91,8 @@
     bool m_hasSentBytes = false;
     bool m_isHeadReported = false;
     bool m_isStaleResponse = false; ///< The response being read belongs to another request.
+    bool m_isFirstExchange = true;  ///< No request was sent before the present one.
+    std::vector<std::string> m_refusedRequestIds;
     std::size_t m_skippedBytes = 0; ///< Of such responses, since the request was sent.
     absl::Time m_idleSince;
     absl::Duration m_keepAliveTimeout = absl::InfiniteDuration();
--- a/packages/node/src/gate/BackendServerGate.cpp
+++ b/packages/node/src/gate/BackendServerGate.cpp
@@ -385,21 +385,26 @@
 BackendServerGate::acquireConnection(const AttemptRequest &request)
 {
     const absl::Time now = steadyNow();
-    while (!m_idleConnections.empty()) {
-        auto connection = m_idleConnections.back();
+    for (std::size_t i = m_idleConnections.size(); i > 0; --i) {
+        auto connection = m_idleConnections[i - 1];
+        if (!connection->isClosed() && connection->hasRefused(request.requestId))
+            continue;
+        const auto remove = [&] {
+            m_idleConnections.erase(m_idleConnections.begin() + static_cast<std::ptrdiff_t>(i - 1));
+        };
         const absl::Duration idleLimit =
                 request.isIdempotent ? std::min(DefaultIdleLimit,
                                                 connection->keepAliveTimeout() - KeepAliveMargin)
                                      : NonIdempotentIdleLimit;
         if (connection->isReusable() && now - connection->idleSince() < idleLimit) {
-            m_idleConnections.pop_back();
+            remove();
             return connection;
         }
         if (!connection->isClosed() && request.isIdempotent)
             connection->close();
         if (!connection->isClosed())
             break;
-        m_idleConnections.pop_back();
+        remove();
     }
     return std::make_shared<BackendConnection>(m_loop, m_options.address,
                                                m_options.protocol.headerNames());
--- a/tests/node/RequestPathTests.cpp
+++ b/tests/node/RequestPathTests.cpp
@@ -194,3 +194,108 @@
     running.write(makeResponse("r1", "one"));
     path.runUntil([&] { return contains(client.received, "one"); });
 }
+
+namespace {
+
+std::string makeRefusal(const std::string &idField)
+{
+    return "HTTP/1.1 503 Full\r\n" + idField + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string makePayRequest(const std::string &id)
+{
+    return "POST /pay/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id
+           + "\r\nContent-Length: 3\r\n\r\nabc";
+}
+
+} // namespace
+
+// Guards against a refusal that a server writes once more, taken for one of a request that runs
+// (report of another operator).
+TEST_CASE("an earlier refusal that is repeated on a kept connection refuses no other request")
+{
+    RequestPath path;
+    path.configure();
+    TestConnection &client = path.connectClient();
+    const bool hasId = GENERATE(true, false);
+    const std::string refusal = makeRefusal(hasId ? "X-Attempt-Id: r1\r\n" : "");
+    client.write(makePayRequest("r1"));
+    TestConnection &server = path.awaitBackendRequest("r1");
+    server.write(refusal);
+    path.runUntil([&] { return contains(client.received, "HTTP/1.1 503"); });
+    path.runUntil([&] { return path.gate.attemptCount() == 0; });
+
+    SECTION("before the answer to the next request")
+    {
+        client.received.clear();
+        client.write(makePayRequest("r2"));
+        TestConnection &running = path.awaitBackendRequest("r2");
+        REQUIRE(&running == &server); // Kept open.
+        server.write(refusal);
+        if (hasId)
+            server.write(makeResponse("r2", "done"));
+        path.runUntil([&] { return contains(client.received, "\r\n\r\n"); });
+        CHECK(contains(client.received, hasId ? "HTTP/1.1 200" : "HTTP/1.1 502"));
+    }
+    SECTION("while the same request is sent once more")
+    {
+        client.received.clear();
+        server.received.clear();
+        client.write(makePayRequest("r1"));
+        TestConnection &running = path.awaitBackendRequest("r1");
+        server.write(refusal);
+        path.runUntil([&] { return &running == &server || server.isClosedByPeer; });
+        if (&running != &server)
+            running.write(makeResponse("r1", "done"));
+        path.runUntil([&] { return contains(client.received, "\r\n\r\n"); });
+        // It runs, so that the answer must not say that it has not.
+        CHECK_FALSE(contains(client.received, "HTTP/1.1 503"));
+        CHECK((&running == &server || contains(client.received, "done")));
+    }
+}
+
+TEST_CASE("a connection that has refused many requests is not used again")
+{
+    RequestPath path;
+    path.configure();
+    TestConnection &client = path.connectClient();
+    TestConnection *first = nullptr;
+    bool isReplaced = false;
+    for (int i = 0; i < 100 && !isReplaced; ++i) {
+        const std::string id = "r" + std::to_string(i) + "x";
+        client.received.clear();
+        client.write(makePayRequest(id));
+        TestConnection &server = path.awaitBackendRequest(id);
+        first = first == nullptr ? &server : first;
+        isReplaced = &server != first;
+        server.write(makeRefusal("X-Attempt-Id: " + id + "\r\n"));
+        path.runUntil([&] { return contains(client.received, "\r\n\r\n"); });
+        CHECK(contains(client.received, "HTTP/1.1 503"));
+    }
+    CHECK(isReplaced);
+}
+
+// Guards against the head of an answer that is cut and taken for a whole one (report of another
+// operator).
+TEST_CASE("an answer whose head is cut anywhere is never forwarded as a success")
+{
+    const std::string body = "whole body";
+    const std::string length = GENERATE(std::string("Content-Length: 10\r\n"),
+                                        std::string("Transfer-Encoding: chunked\r\n"),
+                                        std::string("Connection: close\r\n"));
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Response-Seal: s\r\n"
+                             "Server-Limit: 100\r\n"
+                             + length + "\r\n";
+    for (std::size_t size = 0; size < head.size(); ++size) {
+        RequestPath path;
+        path.configure();
+        TestConnection &client = path.connectClient();
+        client.write(makePayRequest("r1"));
+        TestConnection &server = path.awaitBackendRequest("r1");
+        server.write(head.substr(0, size));
+        server.socket.shutdown(TcpSocket::shutdown_send);
+        path.runUntil([&] { return contains(client.received, "\r\n\r\n"); });
+        CAPTURE(size, length);
+        CHECK(contains(client.received, "HTTP/1.1 502"));
+    }
+}
