Write rows again that the store has lost when it returned from a copy

What callers would see: after the store's return from an older copy and a later restart of all nodes, requests at a backend server that had left, and requests that crash servers sent to servers again.

Cause: the era that the store states was read for the configuration only. Hosts, drains and quarantines that had been written since the copy was made stayed away, and rows that had been removed were back.

Change: a node notices another era in any answer of the store and in its peers' confirmations, which reach it within a poll. It then writes its own row of hosts and of drains again, under the condition of the revision that it has read, and repeats its own writes and removals of quarantines, each at a random moment of one second.

--- a/packages/decisions/include/godwitlift/traffic/DrainReplication.h
+++ b/packages/decisions/include/godwitlift/traffic/DrainReplication.h
@@ -38,6 +38,8 @@
     static constexpr std::size_t RequiredPeers = 2;
 
     void onStoreConfirmed(const DrainRecord &record);
+    /// The store has returned from a copy, which may lack any record.
+    void onStoreReset() { m_storeRecords = DrainRecords(); }
     void onPeerConfirmed(const HostId &peer, const DrainRecord &record);
     /// Where \p record, or one of the same id that covers it, is kept.
     DrainCopy copyOf(const DrainRecord &record) const;
--- a/packages/node/src/peers/DrainReplicator.cpp
+++ b/packages/node/src/peers/DrainReplicator.cpp
@@ -98,6 +98,15 @@
     writeRow();
 }
 
+void DrainReplicator::onStoreReset()
+{
+    m_replication.onStoreReset();
+    m_isRowCurrent = false;
+    // A call in progress either gets no answer and is repeated, or its answer is of the new era.
+    if (!m_isStoreCallInProgress && !m_gate.lifecycle().drains().list().empty())
+        continueWithStoreAfter(StoreResetSpread * m_random.uniformReal());
+}
+
 void DrainReplicator::tick()
 {
     const absl::Time now = steadyNow();
@@ -229,8 +238,13 @@
 {
     const bool isUrgent = !m_pendingDrains.empty() || m_gate.lifecycle().needsProbe();
     m_storeDelay = std::min(m_storeDelay, isUrgent ? MaxUrgentStoreDelay : MaxStoreDelay);
-    expireAfter(m_storeTimer, m_storeDelay * (0.5 + 0.5 * m_random.uniformReal()));
+    continueWithStoreAfter(m_storeDelay * (0.5 + 0.5 * m_random.uniformReal()));
     m_storeDelay *= 2;
+}
+
+void DrainReplicator::continueWithStoreAfter(absl::Duration delay)
+{
+    expireAfter(m_storeTimer, delay);
     m_storeTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error)
             continueWithStore();
--- a/packages/node/src/peers/DrainReplicator.h
+++ b/packages/node/src/peers/DrainReplicator.h
@@ -38,6 +38,8 @@
     void start();
     /// For a node that has no earlier process, and so no row.
     void startWithoutRow();
+    /// The store has returned from a copy: writes the records again that it lacks.
+    void onStoreReset();
     /// Answers callers that have waited for ReplicationTimeout.
     void tick();
     /// Sends \p record, which the gate already obeys, to the store and the peers. Calls \p done
@@ -81,6 +83,7 @@
     void onRowWritten(const StoreAnswer &answer, const std::vector<DrainRecord> &records);
     /// Continues with the store after a delay.
     void retryStore();
+    void continueWithStoreAfter(absl::Duration delay);
     void continueWithStore();
     void recall(const DrainRecord &record, std::string_view source);
     void updateRecall();
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -79,6 +79,7 @@
     , m_random(random)
     , m_acceptor(loop.get_executor())
     , m_registrationTimer(loop.get_executor())
+    , m_hostRowTimer(loop.get_executor())
     , m_ownGateway(gate, 0)
     , m_drainReplicator(loop, m_options.ownHost.host, store, gate, log, metrics, random,
                         [this](const mesh::Frame &frame) { broadcast(frame); })
@@ -232,6 +233,62 @@
     });
 }
 
+void PeerMesh::onStoreReset()
+{
+    m_drainReplicator.onStoreReset();
+    m_quarantineStore.onStoreReset();
+    if (m_isRegistered && !m_isShuttingDown)
+        scheduleHostRowRestore(StoreResetSpread * m_random.uniformReal());
+}
+
+void PeerMesh::scheduleHostRowRestore(absl::Duration delay)
+{
+    expireAfter(m_hostRowTimer, delay);
+    m_hostRowTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error && !m_isShuttingDown)
+            restoreHostRow();
+    });
+}
+
+void PeerMesh::restoreHostRow()
+{
+    const std::string &key = m_options.ownHost.host.value();
+    StoreRequest request;
+    request.kind = StoreRequest::Kind::List;
+    request.table = HostTable;
+    request.firstKey = key;
+    request.endKey = key + '!'; // The first possible key after the host's own.
+    m_store.call(std::move(request), [this](const StoreAnswer &answer) { onOwnRowRead(answer); });
+}
+
+void PeerMesh::onOwnRowRead(const StoreAnswer &answer)
+{
+    const auto retry = [this] {
+        scheduleHostRowRestore(MaxRegistrationDelay * (0.5 + 0.5 * m_random.uniformReal()));
+    };
+    if (answer.outcome != StoreOutcome::Done) {
+        retry();
+        return;
+    }
+    StoreRequest request = makeHostRowRequest();
+    request.expectedRevision = 0;
+    for (const StoreRow &row : answer.rows) {
+        if (row.key != request.key)
+            continue;
+        if (row.value == request.value)
+            return;
+        request.expectedRevision = row.revision;
+    }
+    m_store.call(std::move(request), [this, retry](const StoreAnswer &written) {
+        if (written.outcome != StoreOutcome::Done) {
+            retry();
+            return;
+        }
+        m_log.write("host-row-restored",
+                    LogLine("host-row-restored").add("revision", written.revision), steadyNow());
+    });
+}
+
 void PeerMesh::scheduleRegistrationRetry()
 {
     if (m_isShuttingDown)
@@ -409,6 +466,7 @@
                                         const ConfigurationConfirmation &confirmation)
 {
     m_configurationUpdater->onPeerConfirmation(confirmation);
+    m_onStoreEra(confirmation.position.era);
     if (confirmation.version <= m_configurationUpdater->version())
         return;
     m_peerStates[link.host().host].configurationVersion = confirmation.version;
@@ -656,6 +714,7 @@
 {
     m_isShuttingDown = true;
     m_registrationTimer.cancel();
+    m_hostRowTimer.cancel();
     reportGate(ReportAudience::All);
     if (deletesHostRow)
         deleteHostRow(m_options.ownHost.host);
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -40,6 +40,11 @@
              RandomSource &random);
     ~PeerMesh() override;
 
+    /// Receives the era of the store that a peer has seen. Must be called before listen().
+    void setStoreEraCallback(std::function<void(StoreEra)> callback)
+    {
+        m_onStoreEra = std::move(callback);
+    }
     /// Must be called before listen().
     void setConfigurationUpdater(ConfigurationUpdater &updater)
     {
@@ -50,6 +55,8 @@
     /// host's row has been created.
     void start(bool isFirstStart);
     void tick();
+    /// The store has returned from a copy: this host writes its rows again that the copy lacks.
+    void onStoreReset();
     /// Reports the gate to \p audience, and to the peers that are due for a report.
     void reportGate(ReportAudience audience);
     /// Tells all peers that this host's backend server ended while it ran a request.
@@ -76,6 +83,10 @@
     void createHostRow();
     void recallFromStore();
     void writeHostRow();
+    /// Writes this host's row again unless the store has it.
+    void restoreHostRow();
+    void onOwnRowRead(const StoreAnswer &answer);
+    void scheduleHostRowRestore(absl::Duration delay);
     StoreRequest makeHostRowRequest() const;
     void onRegistered(const StoreAnswer &answer);
     void listHosts(const std::string &firstKey);
@@ -124,8 +135,10 @@
     NodeMetrics &m_metrics;
     RandomSource &m_random;
     ConfigurationUpdater *m_configurationUpdater = nullptr;
+    std::function<void(StoreEra)> m_onStoreEra;
     TcpAcceptor m_acceptor;
     LoopTimer m_registrationTimer;
+    LoopTimer m_hostRowTimer; ///< Until the host's row is restored after a reset of the store.
     LocalGateway m_ownGateway;
     DrainReplicator m_drainReplicator;
     QuarantineStore m_quarantineStore;
--- a/packages/node/src/peers/QuarantineStore.cpp
+++ b/packages/node/src/peers/QuarantineStore.cpp
@@ -20,6 +20,8 @@
 constexpr const char *QuarantineTable = "gl-quarantine";
 /// Delay before a call that failed is repeated; the peers know the quarantines meanwhile.
 constexpr absl::Duration RetryDelay = absl::Seconds(1);
+/// Removed rows that are remembered, for the case that the store returns from a copy with them.
+constexpr std::size_t MaxRemovedRows = 64;
 
 std::string encodeNumber(std::uint64_t number)
 {
@@ -144,10 +146,30 @@
     if (!m_history.isQuarantined(content, steadyNow()))
         return;
     m_unsaved.insert(content);
+    m_saved.insert(content);
+    m_removed.erase(content);
     if (!m_isWriting)
         writeNext();
 }
 
+void QuarantineStore::onStoreReset()
+{
+    std::erase_if(m_saved, [this](ContentDigest content) {
+        return !m_history.isQuarantined(content, steadyNow());
+    });
+    m_unsaved.insert(m_saved.begin(), m_saved.end());
+    if (m_unsaved.empty() && m_removed.empty())
+        return;
+    expireAfter(m_timer, StoreResetSpread * m_random.uniformReal());
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (error)
+            return;
+        for (const ContentDigest content : m_removed)
+            removeRow(content);
+        continueWithStore();
+    });
+}
+
 void QuarantineStore::writeNext()
 {
     if (m_unsaved.empty())
@@ -183,6 +205,15 @@
 void QuarantineStore::remove(ContentDigest content)
 {
     m_unsaved.erase(content);
+    m_saved.erase(content);
+    if (m_removed.size() >= MaxRemovedRows)
+        m_removed.erase(m_removed.begin());
+    m_removed.insert(content);
+    removeRow(content);
+}
+
+void QuarantineStore::removeRow(ContentDigest content)
+{
     StoreRequest request;
     request.kind = StoreRequest::Kind::Remove;
     request.table = QuarantineTable;
@@ -195,13 +226,17 @@
 {
     expireAfter(m_timer, RetryDelay * (0.5 + m_random.uniformReal()));
     m_timer.async_wait([this](const boost::system::error_code &error) {
-        if (error)
-            return;
-        if (!m_areRowsRead)
-            readRows({});
-        if (!m_isWriting)
-            writeNext();
+        if (!error)
+            continueWithStore();
     });
 }
 
+void QuarantineStore::continueWithStore()
+{
+    if (!m_areRowsRead)
+        readRows({});
+    if (!m_isWriting)
+        writeNext();
+}
+
 } // namespace godwitlift
--- a/packages/node/src/peers/QuarantineStore.h
+++ b/packages/node/src/peers/QuarantineStore.h
@@ -33,6 +33,9 @@
     /// Deletes the request's row, since a server has answered it.
     void remove(ContentDigest content);
 
+    /// The store has returned from a copy: repeats the writes and removals of this node.
+    void onStoreReset();
+
 private:
     void readRows(const std::string &firstKey);
     void onRowsRead(const StoreAnswer &answer);
@@ -41,6 +44,8 @@
     void onRowWritten(ContentDigest content, const StoreAnswer &answer);
     /// Continues with the store after a delay.
     void retryLater();
+    void continueWithStore();
+    void removeRow(ContentDigest content);
 
     StoreClient &m_store;
     CrashHistory &m_history;
@@ -48,6 +53,8 @@
     NodeMetrics &m_metrics;
     RandomSource &m_random;
     LoopTimer m_timer;
+    std::set<ContentDigest> m_saved;   ///< Rows that this node has written, unless removed since.
+    std::set<ContentDigest> m_removed; ///< Rows that this node has removed last.
     std::set<ContentDigest> m_unsaved; ///< Requests whose row is to be written.
     bool m_isWriting = false;
     bool m_areRowsRead = false;
--- a/packages/node/src/runtime/ConfigurationUpdater.cpp
+++ b/packages/node/src/runtime/ConfigurationUpdater.cpp
@@ -93,15 +93,6 @@
 
 void ConfigurationUpdater::logRead(const StoreAnswer &answer, const FollowerCall &call)
 {
-    if (answer.era != 0 && answer.era != m_storeEra) {
-        m_log.write("store-era",
-                    LogLine("store-era")
-                            .add("before", m_storeEra)
-                            .add("now", answer.era)
-                            .add("revision", answer.revision),
-                    steadyNow());
-        m_storeEra = answer.era;
-    }
     if (answer.outcome == StoreOutcome::Done && answer.rows.empty())
         return;
     m_log.write("configuration-read",
--- a/packages/node/src/runtime/ConfigurationUpdater.h
+++ b/packages/node/src/runtime/ConfigurationUpdater.h
@@ -75,7 +75,6 @@
     LoopTimer m_timer;                                  ///< Expires when the follower is due.
     absl::Time m_lastAnswerTime = absl::InfinitePast(); ///< Successful or not.
     absl::Time m_lastReadTime = absl::InfinitePast();   ///< Latest successful answer.
-    StoreEra m_storeEra = 0;                            ///< Of the latest answer that stated it.
     bool m_isStarted = false;
 };
 
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -18,6 +18,7 @@
 #include <limits>
 #include <random>
 #include <unistd.h>
+#include <utility>
 
 namespace godwitlift {
 
@@ -117,6 +118,7 @@
         , m_store(m_loop, *parseEndpoint(m_settings.storeAddress.value()), protocol,
                   [this](const StoreRequest &request, const StoreAnswer &answer) {
                       m_metrics.recordStoreCall(name(request.kind), name(answer.outcome));
+                      onStoreEra(answer.era);
                   })
         , m_gate(m_loop,
                  { m_settings.service, *parseEndpoint(m_settings.backendServerAddress.value()),
@@ -150,6 +152,7 @@
         , m_finalAnswerTimer(m_loop.get_executor())
     {
         m_mesh.setConfigurationUpdater(m_configurationUpdater);
+        m_mesh.setStoreEraCallback([this](StoreEra era) { onStoreEra(era); });
         m_selector.setOwnZone(m_settings.zone);
         m_clientServer.setLimits(toServerLimits(ClientLimits()));
         m_lastSettingsText = readFile(m_settingsFile).value_or("");
@@ -219,6 +222,18 @@
         m_mesh.reportGate(ReportAudience::Zone);
     }
 
+    /// \p era is of any answer of the store, to this node or to a peer; 0 if not stated.
+    void onStoreEra(StoreEra era)
+    {
+        if (era <= m_storeEra)
+            return;
+        const StoreEra previous = std::exchange(m_storeEra, era);
+        m_log.write("store-era", LogLine("store-era").add("before", previous).add("now", era),
+                    steadyNow());
+        if (previous != 0)
+            m_mesh.onStoreReset();
+    }
+
     void onGateStateChanged(bool isUrgent) override
     {
         m_mesh.reportGate(isUrgent ? ReportAudience::All : ReportAudience::Due);
@@ -477,6 +492,7 @@
     bool m_isQueueCheckScheduled = false;
     absl::Time m_lastConnectionCheck = absl::InfinitePast();
     absl::Time m_lastSettingsCheck = absl::InfinitePast();
+    StoreEra m_storeEra = 0; ///< The latest one seen.
     bool m_isShuttingDown = false;
     absl::Time m_shutdownStart;
     bool m_hasStoppedAccepting = false;
--- a/packages/node/src/store/StoreClient.h
+++ b/packages/node/src/store/StoreClient.h
@@ -12,6 +12,10 @@
 
 namespace godwitlift {
 
+/// Time over which nodes spread their calls after the store has returned from a copy, so that not
+/// all of them write their rows again at once.
+inline constexpr absl::Duration StoreResetSpread = absl::Seconds(1);
+
 /// Makes calls on persistent connections. A call that times out ends as StoreOutcome::Unknown and
 /// its connection is closed. Does not retry; that is the caller's decision.
 class StoreClient final
--- a/tests/process/drains.py
+++ b/tests/process/drains.py
@@ -282,6 +282,43 @@
     await check_alive(deployment)
 
 
+# Guards against drains, quarantines and hosts that are forgotten when the store returns from a copy that is older
+# than they are, and all nodes restart later.
+async def restart_of_all_nodes_after_the_store_returned_from_a_copy(deployment):
+    host = deployment.hosts[0]
+    for each in deployment.hosts:
+        await each.backend.announce(each.announcement_port)
+        await deployment.wait_until_served(each, each.backend.id)
+    rows = dict(deployment.store.rows)
+    deployment.store.rows = {key: row for key, row in rows.items() if key[0] == "op"}
+    copy = deployment.store.copy()
+    deployment.store.rows = rows
+    await crash_servers(deployment)
+    deployment.publish()
+    assert await host.backend.deregister(host.announcement_port)
+    await asyncio.sleep(0.5)
+    deployment.store.mode = "silent"
+    await asyncio.sleep(1)
+    deployment.store.return_from_copy(copy)
+    # What the system had written is written again within this time.
+    await asyncio.sleep(2.5)
+    keys = set(deployment.store.rows)
+    missing = [each.name for each in deployment.hosts if ("gl-hosts", each.name) not in keys]
+    assert not missing, f"no row of {missing}"
+    assert any(table == "gl-quarantine" for table, _ in keys), "no row of the quarantine"
+    for each in deployment.hosts:
+        each.kill()
+    for each in deployment.hosts:
+        each.start()
+    for each in deployment.hosts:
+        await wait_until(lambda port=each.announcement_port: can_connect(port), f"start of {each.name}")
+    for each in deployment.hosts[1:]:
+        await each.backend.announce(each.announcement_port)
+    await deployment.check_unreached(host.backend.id, lambda: announce_late(host))
+    status = await deployment.send_request(deployment.hosts[1], target=CRASHING_TARGET)
+    assert status == 503, f"{status} to a request under which servers ended"
+
+
 SCENARIOS = {function.__name__: (function, host_count) for function, host_count in (
     (late_announcement_of_a_deregistered_server_that_was_known_from_its_probe, 1),
     (node_restart_after_deregistration, 1),
@@ -294,7 +331,8 @@
     (request_that_crashes_servers_over_a_restart_of_all_nodes, 3),
     (first_start_makes_few_store_calls, 6),
     (restart_after_deregistration_during_a_first_start, 1),
-    (odd_entries_of_another_writer, 3))}
+    (odd_entries_of_another_writer, 3),
+    (restart_of_all_nodes_after_the_store_returned_from_a_copy, 4))}
 
 
 def main():
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,10 +31,11 @@
 # Bounds of the guarantees in seconds, as the users' deployments require.
 DRAIN_BOUND = 2.0
 CONFIGURATION_BOUND = 2.5
-RECOVERY_TIME = 4.0
 STOP_TIMEOUT = 6.0
-# Time after which the fleet must know a limit or a crash, and length of the limit's window.
+# Time after which a host that had a fault is bound by the guarantees again, and after which the fleet
+# must know a limit or a crash.
 STABILITY = 3.0
+# Length of the window of a limit.
 LIMIT_WINDOW = 4.0
 # Servers that may end under a request before it counts as crashing, and runs allowed after that.
 CRASH_LIMIT = 3
@@ -44,6 +45,10 @@
     "all": ["kill", "kill", "pause", "term", "term", "hup", "reset", "silence", "cut", "delay",
             "store", "store", "compact", "store-cut", "drain", "drain", "crash", "garble",
             "publish", "publish", "herd"],
+    # Versions that are published while their way to the nodes fails.
+    "configuration": ["publish"] * 6 + ["silent-connections"] * 3 + ["store-return"] * 2
+                     + ["cut", "silence", "pause", "pause", "kill", "herd", "store", "store-cut",
+                        "compact", "drain"],
     # Backend servers that leave while nodes restart, announcements are late and copies are lost.
     "drains": ["drain"] * 6 + ["kill", "kill", "herd", "term", "pause", "silence", "cut", "store",
                                "store", "store-cut", "crash"],
@@ -74,6 +79,8 @@
         self.process = None
         self.is_paused = False
         self.faults_until = 0.0
+        # Of those faults that excuse a late configuration: not those of connections to peers alone.
+        self.configuration_faults_until = 0.0
         self.stop_requested_at = None
         self.is_stop_only_fault = False  # No other fault overlaps the stop.
         self.settings = os.path.join(soak.folder, self.name + ".json")
@@ -92,6 +99,7 @@
                        "metrics": f"{local}{self.metrics_port}"},
             "store": f"{local}{self.store_proxy_port}", "limits": {"descriptors": 1024},
             "bounds": {"announcement_interval": "870ms", "stop_timeout": f"{STOP_TIMEOUT}s",
+                       "configuration_apply_limit": f"{CONFIGURATION_BOUND}s",
                        "retry_ratio": 0.2, "retry_slack": 60, "retry_window": "10s"}}
         with open(self.settings, "w", encoding="utf-8") as file:
             json.dump(document, file)
@@ -105,12 +113,15 @@
         if self.process.poll() is None:
             self.process.send_signal(number)
 
-    def record_fault(self, seconds):
-        self.faults_until = max(self.faults_until, time.monotonic() + seconds)
+    def record_fault(self, seconds, excuses_configuration=True):
+        until = time.monotonic() + seconds
+        self.faults_until = max(self.faults_until, until)
+        if excuses_configuration:
+            self.configuration_faults_until = max(self.configuration_faults_until, until)
         self.is_stop_only_fault = False
 
-    def has_recovered(self, since):
-        return self.faults_until + RECOVERY_TIME < since
+    def must_be_current(self, since):
+        return self.configuration_faults_until + STABILITY < since
 
 
 class SoakRun:
@@ -139,6 +150,7 @@
         self.last_request_number = 0
         self.is_stopping = False
         self.store_faults_until = 0.0
+        self.is_store_returning = False
 
     def record_event(self, text):
         self.events.append(f"{time.monotonic() - self.started_at:8.3f} {text}")
@@ -149,6 +161,10 @@
 
     def publish(self):
         self.version += 1
+        self.store.put("op", "config", self.encode_configuration())
+        self.versions.append((time.monotonic(), self.version))
+
+    def encode_configuration(self):
         routes = [("safe", "/look/", "safe"), ("pay", "/pay/", "unsafe")]
         routes += [(f"v{version}", f"/v{version}/", "safe")
                    for version in range(max(1, self.version - 5), self.version + 1)]
@@ -163,9 +179,7 @@
         resources.append({"entry_kind": "limits", "metadata": {},
                           "spec": {"max_header_bytes": 16384, "max_body_bytes": 1048576,
                                    "header_timeout": "3000ms", "idle_timeout": "15s"}})
-        document = {"version": f"{self.version:08x}", "resources": resources}
-        self.store.put("op", "config", json.dumps(document).encode())
-        self.versions.append((time.monotonic(), self.version))
+        return json.dumps({"version": f"{self.version:08x}", "resources": resources}).encode()
 
     async def send_request(self, host, stream, target, method, body):
         """Returns the status, None without an answer, and whether the connection can be reused."""
@@ -209,12 +223,12 @@
                          and target == f"/v{version}/x"]
             is_current = published and published[0] > self.version - 5
             if self.injected_violation == "configuration" or (
-                    is_current and self.has_recovered(host, sent)):
+                    is_current and self.must_be_current(host, sent)):
                 self.record_violation("configuration in force",
                                       f"{request} 404 for {target} at {host.name}")
 
-    def has_recovered(self, host, since):
-        return host.has_recovered(since) and self.store_faults_until + RECOVERY_TIME < since
+    def must_be_current(self, host, since):
+        return host.must_be_current(since) and self.store_faults_until + STABILITY < since
 
     def check_refused(self, request, status):
         if self.executions.get(request):
@@ -348,14 +362,23 @@
 
     # Drops the bytes of the host's peer connections in one direction or both.
     async def fault_silence(self, host, duration):
-        host.record_fault(duration)
+        host.record_fault(duration, excuses_configuration=False)
         host.peer_proxy.dropped_directions = set(
             self.random.choice([("up",), ("down",), ("up", "down")]))
         await asyncio.sleep(duration)
         host.peer_proxy.dropped_directions = set()
 
+    # All open connections between the nodes and to the store go silent for good; new ones work.
+    async def fault_silent_connections(self, host, duration):
+        for other in self.hosts:
+            other.record_fault(0)
+            other.peer_proxy.silence_open_connections()
+            other.store_proxy.silence_open_connections()
+        await asyncio.sleep(self.random.uniform(0, 1))
+        self.publish()
+
     async def fault_cut(self, host, duration):
-        host.record_fault(duration)
+        host.record_fault(duration, excuses_configuration=False)
         host.peer_proxy.is_refusing = True
         host.peer_proxy.reset_all()
         await asyncio.sleep(duration)
@@ -380,6 +403,21 @@
         await asyncio.sleep(duration)
         host.store_proxy.is_refusing = False
 
+    # The store is away and returns from a copy, in which the operator writes the newest version again.
+    async def fault_store_return(self, host, duration):
+        if self.is_store_returning:
+            return
+        self.is_store_returning = True
+        copy = self.store.copy()
+        await asyncio.sleep(duration)
+        away = self.random.uniform(0.1, 1.5)
+        self.store_faults_until = max(self.store_faults_until, time.monotonic() + away)
+        self.store.mode = "silent"
+        await asyncio.sleep(away)
+        self.store.return_from_copy(copy)
+        self.store.put("op", "config", self.encode_configuration())
+        self.is_store_returning = False
+
     async def fault_compact(self, host, duration):
         self.store.compact()
 
