Keep hosts that are out of reach for longer than a partition lasts

What callers saw: after a partition of more than a minute, requests to a service of another zone got 503 until the nodes were restarted.

Cause: a node forgot each host that was out of reach for 60 s, and read the list of hosts only at its start. After a partition both sides had forgotten each other.

Change: a host that is out of reach for 60 s is dormant. It gets no requests, and is tried every 3 s, or less often so that a node makes at most twenty attempts a second. The first one that comes back wakes the others. A host is forgotten when it has told that it leaves for good, or after three hours. The store is not asked.

--- a/packages/node/src/peers/PeerLink.cpp
+++ b/packages/node/src/peers/PeerLink.cpp
@@ -97,8 +97,16 @@
 
 void PeerLink::scheduleReconnect()
 {
-    expireAfter(m_connectTimer, m_reconnectDelay);
+    const absl::Duration delay = m_retryDelay.value_or(m_reconnectDelay);
     m_reconnectDelay = std::min(m_reconnectDelay * 2, MaxReconnectDelay);
+    connectAfter(delay);
+}
+
+void PeerLink::connectAfter(absl::Duration delay)
+{
+    if (m_channel != nullptr || m_isConnecting)
+        return;
+    expireAfter(m_connectTimer, delay);
     m_connectTimer.async_wait([this, alive = m_isAlive](const boost::system::error_code &error) {
         if (!error && *alive)
             connect();
--- a/packages/node/src/peers/PeerLink.h
+++ b/packages/node/src/peers/PeerLink.h
@@ -11,6 +11,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <memory>
+#include <optional>
 
 namespace godwitlift {
 
@@ -60,6 +61,10 @@
     void tick(absl::Time now, std::size_t peerCount);
     /// Connects without waiting for the backoff delay, for example after a hello from the peer.
     void connectNow();
+    /// Replaces the backoff delay by \p delay, for a host that is dormant; none ends this.
+    void setRetryDelay(std::optional<absl::Duration> delay) { m_retryDelay = delay; }
+    /// Connects after \p delay instead of later, unless a connection is being made.
+    void connectAfter(absl::Duration delay);
     void send(const mesh::Frame &frame);
 
     void open(AttemptRequest request, std::weak_ptr<AttemptObserver> observer) override;
@@ -88,6 +93,7 @@
     LinkProbe m_probe;
     TransitDelayEstimator m_transitDelayEstimator; ///< Of the frames on the present connection.
     absl::Duration m_reconnectDelay;
+    std::optional<absl::Duration> m_retryDelay; ///< Set while the host is dormant.
     absl::Time m_downSince;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true); ///< False after destruction.
 };
--- a/packages/node/src/peers/PeerMesh.cpp
+++ b/packages/node/src/peers/PeerMesh.cpp
@@ -19,10 +19,6 @@
 /// The delay before a registration retry doubles with each failure up to the maximum.
 constexpr absl::Duration InitialRegistrationDelay = absl::Milliseconds(200);
 constexpr absl::Duration MaxRegistrationDelay = absl::Seconds(1);
-/// Time after which an unreachable host is removed: much longer than a restart or a short network
-/// partition.
-constexpr absl::Duration UnreachableHostTimeout = absl::Seconds(60);
-
 /// Time after which an unanswered configuration request is repeated, usually to another node.
 constexpr absl::Duration ConfigurationRequestTimeout = absl::Milliseconds(150);
 /// Time for a new version to arrive from a node of the same zone before a node of another zone is
@@ -329,9 +325,41 @@
                 steadyNow());
     m_selector.removeHost(host);
     m_limitedServers.erase(host);
+    m_dormantHosts.erase(host);
+    m_departedHosts.erase(host);
     m_links.erase(host);
 }
 
+void PeerMesh::updateUnreachableHosts(absl::Time now)
+{
+    std::vector<HostId> forgotten;
+    for (const auto &[host, link] : m_links) {
+        const absl::Duration downtime = link->downtime(now);
+        if (!HostRetention::isDormant(downtime))
+            continue;
+        if (HostRetention::isForgotten(downtime) || m_departedHosts.contains(host))
+            forgotten.push_back(host);
+        if (m_dormantHosts.insert(host).second) {
+            m_selector.removeHost(host);
+            m_log.write("host-dormant", LogLine("host-dormant").add("host", host.value()), now);
+        }
+        link->setRetryDelay(HostRetention::retryDelay(m_dormantHosts.size(), m_random));
+    }
+    for (const HostId &host : forgotten)
+        removeHost(host, "out-of-reach");
+}
+
+void PeerMesh::wakeHost(const PeerHost &host)
+{
+    if (m_dormantHosts.erase(host.host) == 0)
+        return;
+    m_links.at(host.host)->setRetryDelay(std::nullopt);
+    m_selector.addHost(host.host, host.zone);
+    // Others may have come back at the same time.
+    for (const HostId &dormant : m_dormantHosts)
+        m_links.at(dormant)->connectAfter(HostRetention::WakeSpread * m_random.uniformReal());
+}
+
 AttemptGateway *PeerMesh::gatewayTo(const HostId &host)
 {
     if (host == m_options.ownHost.host)
@@ -356,14 +384,9 @@
 void PeerMesh::tick()
 {
     const absl::Time now = steadyNow();
-    std::vector<HostId> unreachable;
-    for (const auto &[host, link] : m_links) {
+    for (const auto &[host, link] : m_links)
         link->tick(now, m_links.size());
-        if (link->downtime(now) > UnreachableHostTimeout)
-            unreachable.push_back(host);
-    }
-    for (const HostId &host : unreachable)
-        removeHost(host, "out-of-reach");
+    updateUnreachableHosts(now);
     closeTimedOutSessions(now);
     // Nodes of the zone elect the watchers of the store by this state.
     const bool isStoreFailing = m_configurationUpdater->isStoreFailing();
@@ -508,6 +531,8 @@
 
 void PeerMesh::onLinkOpened(PeerLink &link)
 {
+    m_departedHosts.erase(link.host().host);
+    wakeHost(link.host());
     m_log.write("link-opened", LogLine("link-opened").add("host", link.host().host.value()),
                 steadyNow());
 }
@@ -565,7 +590,7 @@
 NodeState PeerMesh::nodeState() const
 {
     return { m_configurationUpdater->version(), m_isShuttingDown,
-             m_configurationUpdater->isStoreFailing(), m_options.linkMbps };
+             m_configurationUpdater->isStoreFailing(), m_options.linkMbps, m_isDeparting };
 }
 
 void PeerMesh::requestConfiguration(PeerLink &link, Version aboveVersion)
@@ -651,6 +676,8 @@
         break;
     case mesh::Frame::kGateState:
         m_peerStates[link.host().host] = decodeNodeState(frame.gate_state());
+        if (frame.gate_state().is_departing())
+            m_departedHosts.insert(link.host().host);
         if (Version(frame.gate_state().configuration_version()) > m_configurationUpdater->version())
             requestNewerConfiguration();
         break;
@@ -713,6 +740,7 @@
 void PeerMesh::beginShutdown(bool deletesHostRow)
 {
     m_isShuttingDown = true;
+    m_isDeparting = deletesHostRow;
     m_registrationTimer.cancel();
     m_hostRowTimer.cancel();
     reportGate(ReportAudience::All);
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -11,11 +11,13 @@
 #include "runtime/ConfigurationUpdater.h"
 #include "store/StoreClient.h"
 
+#include "godwitlift/traffic/HostRetention.h"
 #include "godwitlift/traffic/ReportSchedule.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace godwitlift {
@@ -73,7 +75,7 @@
     bool hasUnfinishedAnswers() const;
 
     AttemptGateway *gatewayTo(const HostId &host) override;
-    std::size_t nodeCount() const override { return m_links.size() + 1; }
+    std::size_t nodeCount() const override { return m_links.size() - m_dormantHosts.size() + 1; }
     std::size_t openLinkCount() const;
 
 private:
@@ -95,6 +97,9 @@
     void deleteHostRow(const HostId &host);
     void addHost(const PeerHost &host);
     void removeHost(const HostId &host, std::string_view cause);
+    /// Leads no requests to hosts that have been out of reach for long, and forgets them at last.
+    void updateUnreachableHosts(absl::Time now);
+    void wakeHost(const PeerHost &host);
     /// Report of this host's gate, with the bandwidth and backlog of the host's link.
     GateReport makeGateReport() const;
     void closeTimedOutSessions(absl::Time now);
@@ -143,6 +148,8 @@
     DrainReplicator m_drainReplicator;
     QuarantineStore m_quarantineStore;
     std::map<HostId, std::unique_ptr<PeerLink>> m_links;
+    std::set<HostId> m_dormantHosts;  ///< Have a link that is down, and are not in the selector.
+    std::set<HostId> m_departedHosts; ///< Not expected to return, by their last report.
     std::map<PeerSession *, std::shared_ptr<PeerSession>> m_sessions;
     std::map<HostId, NodeState> m_peerStates; ///< Latest report on each link that is up.
     /// Backend servers of other hosts that state a request limit, by the latest report. Kept while
@@ -158,6 +165,7 @@
     std::uint32_t m_nextSourceNumber = 1; ///< 0 is this node's own ingress.
     bool m_isRegistered = false;
     bool m_isShuttingDown = false;
+    bool m_isDeparting = false; ///< Shuts down, and this host is not expected to return.
     absl::Duration m_registrationDelay;
 };
 
--- a/packages/node/src/peers/PeerMessages.cpp
+++ b/packages/node/src/peers/PeerMessages.cpp
@@ -180,6 +180,7 @@
     message.set_is_leaving(node.isShuttingDown);
     message.set_is_store_failing(node.isStoreFailing);
     message.set_link_mbps(node.linkMbps);
+    message.set_is_departing(node.isDeparting);
     message.set_link_backlog_ms(
             static_cast<std::uint32_t>(absl::ToInt64Milliseconds(report.linkBacklog)));
     message.set_failure_share(static_cast<float>(report.failureShare));
@@ -191,7 +192,7 @@
 NodeState decodeNodeState(const mesh::GateState &message)
 {
     return { Version(message.configuration_version()), message.is_leaving(),
-             message.is_store_failing(), message.link_mbps() };
+             message.is_store_failing(), message.link_mbps(), message.is_departing() };
 }
 
 GateReport decodeGateReport(const mesh::GateState &message)
--- a/packages/node/src/peers/PeerMessages.h
+++ b/packages/node/src/peers/PeerMessages.h
@@ -45,6 +45,7 @@
     bool isShuttingDown = false;
     bool isStoreFailing = false;
     std::uint32_t linkMbps = 0; ///< 0 is unknown.
+    bool isDeparting = false;   ///< Shuts down, and its host is not expected to return.
 };
 
 mesh::Frame encodeCrash(const AgedCrash &crash);
--- a/tests/process/configuration.py
+++ b/tests/process/configuration.py
@@ -1,5 +1,5 @@
 """Tests with real nodes that each version of the configuration is in force in time at every node that
-reaches the store, whichever single part of its way there fails.
+reaches the store, whichever single part of its way there fails, and that nodes find each other again.
 
   configuration.py SCENARIO
 
@@ -167,14 +167,40 @@
     announcements.cancel()
 
 
+# Guards against a partition of more than a minute that never ends for the nodes (review report).
+async def partition_of_more_than_a_minute(deployment):
+    async def has_all_links(host):
+        status, body = await deployment.read_metrics(host)
+        return status == 200 and f'value="links_up"}} {len(deployment.hosts) - 1}\n' in body
+
+    async def wait_for_links(description):
+        for host in deployment.hosts:
+            await wait_until(lambda host=host: has_all_links(host), f"{description} of {host.name}")
+
+    await wait_until_in_force(deployment)
+    await wait_for_links("links")
+    for host in deployment.hosts:
+        host.peer_proxy.is_refusing = True
+        host.peer_proxy.reset_all()
+    await asyncio.sleep(63)
+    # Also without the store.
+    deployment.store.mode = "refusing"
+    for host in deployment.hosts:
+        host.peer_proxy.is_refusing = False
+    healed = time.monotonic()
+    await wait_for_links("links after the partition")
+    assert time.monotonic() - healed <= 6, f"links after {time.monotonic() - healed:.1f} s"
+
+
 SCENARIOS = {function.__name__: (function, host_count) for function, host_count in (
     (nodes_cut_off_from_each_other, 4),
     (silent_connections_to_the_store, 4),
     (silent_connections_everywhere, 4),
     (frozen_watcher, 4),
-    (store_that_returns_from_a_copy, 3))}
+    (store_that_returns_from_a_copy, 3),
+    (partition_of_more_than_a_minute, 3))}
 # Each host alone in its zone, so that none reads on behalf of another.
-ZONE_COUNTS = {"store_that_returns_from_a_copy": 3}
+ZONE_COUNTS = {"store_that_returns_from_a_copy": 3, "partition_of_more_than_a_minute": 3}
 
 
 def main():
--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -153,6 +153,15 @@
             return None
         return int(answer[0].split(" ")[1]) if answer else None
 
+    async def read_metrics(self, host):
+        """Returns the status and the text of the host's metrics."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", host.metrics_port)
+        stream = HttpStream(reader, writer)
+        await stream.send_message("GET /metrics HTTP/1.1", {"Host": "n"})
+        answer = await asyncio.wait_for(stream.read_message(), 2)
+        writer.close()
+        return int(answer[0].split(" ")[1]), answer[2].decode()
+
     async def wait_until_served(self, host, server=None):
         """Waits until a request that arrives at \\p host runs, at \\p server if that is given."""
         async def is_served():
