--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -104,8 +104,9 @@
                        "metrics": f"{local}{self.metrics_port}"},
             "store": f"{local}{self.store_proxy_port}", "first_start": is_first_start,
             "limits": self.cluster.limits, "bounds": bounds}
-        with open(self.settings, "w", encoding="utf-8") as file:
+        with open(self.settings + ".new", "w", encoding="utf-8") as file:
             json.dump(document, file)
+        os.replace(self.settings + ".new", self.settings)
 
     def start(self):
         with open(self.log_path, "ab") as log:
@@ -165,10 +166,10 @@
             self.listeners.append(await machine.store_proxy.start(machine.store_proxy_port))
             machine.write_settings(True)
             machine.start()
-        for machine in self.machines:
-            machine.write_settings(False)  # For later starts of the process.
             self.tasks.append(asyncio.create_task(machine.beat()))
         await self.wait_until_ready()
+        for machine in self.machines:
+            machine.write_settings(False)  # For later starts of the process.
 
     async def wait_until_ready(self, seconds=15):
         deadline = time.monotonic() + seconds
