--- a/review/6/case.py
+++ b/review/6/case.py
@@ -17,6 +17,7 @@
 MEMORY_MB = 160
 MEMORY_BYTES = MEMORY_MB * 1024 * 1024
 DESCRIPTORS = 4100
+LINK_MBPS = 7
 # max_body_bytes of all deployments.
 BODY_LIMIT = 67108864
 # The crowd: bodies of legal size that stop one byte short of their end and stay open for a while.
@@ -136,4 +137,4 @@
 resource.setrlimit(resource.RLIMIT_NOFILE, (hard if hard != resource.RLIM_INFINITY else 65536, hard))
 run_case(FOLDER, lambda record: Cluster(
     record, ["desk"] * MACHINES,
-    limits={"memory_mb": MEMORY_MB, "descriptors": DESCRIPTORS, "link_mbps": 200}), play, check)
+    limits={"memory_mb": MEMORY_MB, "descriptors": DESCRIPTORS, "link_mbps": LINK_MBPS}), play, check)
