Deliver complete answers in front of one that is broken off

Cause: ServerConnection::onExchangeProgress() closed for the broken-off answer in the loop that moves complete answers to the output, before that was written; and an answer counted as begun although the client's connection had taken none of it. Change: an answer that the connection has not begun to take is withdrawn, and its request attempted again or answered with a status; any other ends the connection after the complete answers before it, with a FIN instead of a reset. That removes the fault: no byte of a complete answer is dropped by the end of a later one.

--- a/packages/node/src/http/HttpServer.cpp
+++ b/packages/node/src/http/HttpServer.cpp
@@ -82,6 +82,16 @@
     flush();
 }
 
+bool Exchange::withdrawAnswer()
+{
+    if (m_isTakenByConnection)
+        return false;
+    std::string().swap(m_outputBuffer);
+    m_bufferedBodyBytes = 0;
+    m_isChunked = false;
+    return true;
+}
+
 void Exchange::abortAnswer()
 {
     m_isAborted = true;
--- a/packages/node/src/http/HttpServer.h
+++ b/packages/node/src/http/HttpServer.h
@@ -52,7 +52,11 @@
                      std::optional<std::uint64_t> length);
     void writeBody(std::string_view data);
     void endAnswer();
-    /// Closes the connection in the middle of the answer, so that the client detects truncation.
+    /// Discards an answer that has begun, so that another one can take its place. Returns false if
+    /// the connection has taken a part of it.
+    bool withdrawAnswer();
+    /// Ends the connection in the middle of the answer, so that the client detects truncation. The
+    /// complete answers before it are sent first.
     void abortAnswer();
 
 private:
@@ -69,6 +73,7 @@
     absl::Time m_arrivalTime;
     std::string m_outputBuffer;          ///< Not yet handed to the connection.
     std::size_t m_bufferedBodyBytes = 0; ///< Body bytes in m_outputBuffer.
+    bool m_isTakenByConnection = false;  ///< A part of the answer; it cannot be withdrawn.
     bool m_isChunked = false;
     bool m_isComplete = false;
     bool m_isAborted = false;
--- a/packages/node/src/http/ServerConnection.cpp
+++ b/packages/node/src/http/ServerConnection.cpp
@@ -51,9 +51,14 @@
     m_socket.close(ignored);
     m_account.reset();
     const auto self = shared_from_this();
+    m_server.m_connections.erase(self);
+    discardExchanges();
+}
+
+void ServerConnection::discardExchanges()
+{
     const auto exchanges = std::move(m_exchanges);
     m_exchanges.clear();
-    m_server.m_connections.erase(self);
     for (const auto &exchange : exchanges) {
         if (const auto observer = exchange->m_observer.lock())
             observer->onClientDisconnected();
@@ -275,9 +280,11 @@
     while (!m_exchanges.empty()) {
         const auto exchange = m_exchanges.front();
         if (exchange->m_isAborted) {
-            close();
+            breakOff();
             return;
         }
+        if (!exchange->m_outputBuffer.empty())
+            exchange->m_isTakenByConnection = true;
         m_pendingOutput += exchange->m_outputBuffer;
         exchange->m_outputBuffer.clear();
         if (exchange->m_bufferedBodyBytes > 0) {
@@ -288,23 +295,34 @@
         if (!exchange->m_isComplete)
             break;
         m_exchanges.pop_front();
+        m_completeOutputBytes = m_writeBuffer.size() + m_pendingOutput.size();
         m_lastActivity = steadyNow();
         if (exchange->m_closesConnection) {
             // After `Connection: close` the client treats later pipelined requests as not
             // processed.
             m_isInputClosed = true;
-            const auto discarded = std::move(m_exchanges);
-            m_exchanges.clear();
-            for (const auto &other : discarded) {
-                if (const auto observer = other->m_observer.lock())
-                    observer->onClientDisconnected();
-            }
+            discardExchanges();
         }
     }
     writePendingOutput();
     accountHeldBytes();
 }
 
+void ServerConnection::breakOff()
+{
+    const auto self = shared_from_this();
+    m_isInputClosed = true;
+    discardExchanges();
+    const std::size_t beingWritten = std::min(m_completeOutputBytes, m_writeBuffer.size());
+    m_pendingOutput.resize(m_completeOutputBytes - beingWritten);
+    m_pendingOutput.shrink_to_fit();
+    if (m_completeOutputBytes == 0)
+        beginLingeringClose();
+    else
+        writePendingOutput();
+    accountHeldBytes();
+}
+
 void ServerConnection::writePendingOutput()
 {
     if (m_isWriting || m_isClosed)
@@ -385,7 +403,9 @@
     if (m_isClosed)
         return;
     if (error) {
-        close();
+        // The sending side may have been shut down in the middle of an answer.
+        if (!m_isLingering)
+            close();
         return;
     }
     const auto self = shared_from_this();
@@ -393,6 +413,7 @@
                                               ? m_unsentBodyBytes
                                               : std::min(m_unsentBodyBytes, m_writeBuffer.size());
     m_unsentBodyBytes -= sentBodyBytes;
+    m_completeOutputBytes -= std::min(m_completeOutputBytes, m_writeBuffer.size());
     std::string().swap(m_writeBuffer);
     if (const auto exchange = m_bodyExchange.lock(); exchange != nullptr && sentBodyBytes > 0) {
         if (const auto observer = exchange->m_observer.lock())
--- a/packages/node/src/http/ServerConnection.h
+++ b/packages/node/src/http/ServerConnection.h
@@ -70,6 +70,11 @@
     void onRequestComplete();
     void rejectRequest(unsigned status, std::string_view fields = {});
     void refuseForBudget();
+    /// Ends the connection in the middle of the first unfinished answer, once the complete answers
+    /// before it are written.
+    void breakOff();
+    /// Forgets the unanswered requests and cancels their calls.
+    void discardExchanges();
     void writePendingOutput();
     /// Starts writing m_writeBuffer; onWritten() follows.
     void startWrite();
@@ -86,8 +91,10 @@
     std::unique_ptr<RequestParser> m_parser;       ///< Null between requests.
     std::string m_input;
     std::deque<std::shared_ptr<Exchange>> m_exchanges;
-    std::string m_writeBuffer;              ///< Being written if m_isWriting.
-    std::string m_pendingOutput;            ///< To be written after m_writeBuffer.
+    std::string m_writeBuffer;   ///< Being written if m_isWriting.
+    std::string m_pendingOutput; ///< To be written after m_writeBuffer.
+    /// Of m_writeBuffer and m_pendingOutput, up to the end of the last complete answer.
+    std::size_t m_completeOutputBytes = 0;
     std::weak_ptr<Exchange> m_bodyExchange; ///< The exchange that m_unsentBodyBytes belong to.
     std::size_t m_unsentBodyBytes = 0;      ///< In m_writeBuffer and m_pendingOutput.
     std::uint64_t m_linkTicket = 0;         ///< Of output scheduled on the link; 0 if none is.
--- a/packages/node/src/ingress/IngressCall.cpp
+++ b/packages/node/src/ingress/IngressCall.cpp
@@ -355,6 +355,12 @@
     m_exchange->writeBody(buffered);
 }
 
+void IngressCall::withdrawStreamedAnswer()
+{
+    if (m_isStreaming && m_exchange->withdrawAnswer())
+        m_isStreaming = false;
+}
+
 void IngressCall::onAnswerComplete(AttemptId id, const GateTimings &timings)
 {
     if (id != m_attemptId)
@@ -450,6 +456,7 @@
                                   .add("age_ms", steadyNow() - m_exchange->arrivalTime())
                                   .add("left_ms", timeLeft()),
                           steadyNow());
+    withdrawStreamedAnswer();
     if (tryRetry(failure))
         return;
     sendFinalAnswer(decideWithoutRetry(makeFailedAttempt(failure)), failure.reason,
@@ -484,6 +491,7 @@
     const bool hadAttempt = m_attemptId != AttemptId();
     if (!cancelAttempt())
         m_worstVerdict = std::max(m_worstVerdict, Verdict::MayHaveRun);
+    withdrawStreamedAnswer();
     RetryDecision decision = RetryDecision::Fail;
     if (m_isStreaming)
         decision = RetryDecision::AbortAnswer;
--- a/packages/node/src/ingress/IngressCall.h
+++ b/packages/node/src/ingress/IngressCall.h
@@ -61,6 +61,9 @@
     void onDeadlineExpired();
     void failCall(Reason reason);
     void beginStreaming();
+    /// Takes back an answer of which the client's connection has taken nothing, because answers to
+    /// earlier requests are due.
+    void withdrawStreamedAnswer();
     /// Body bytes that the head of the answer promises; none if the body's end tells.
     std::optional<std::uint64_t> expectedBodyBytes() const;
     /// Fails the open attempt, whose answer must not reach the client.
