Exit from a stop only when the last answers have reached their clients

Callers could see: an answer cut at the end of a planned stop on a slow link. Cause: the exit came as soon as answers were handed to the kernel. A socket of an ended process is reset by the next bytes of its client, such as a pipelined request, and the reset discards what the kernel has not sent yet. Change: HttpServer::hasUndeliveredAnswers() also counts bytes that the client's host has not acknowledged; the exit waits for them within the stop timeout. The loss itself was not played with processes.

--- a/packages/node/src/http/HttpServer.cpp
+++ b/packages/node/src/http/HttpServer.cpp
@@ -197,10 +197,10 @@
         connection->closeIfTimedOut(now);
 }
 
-bool HttpServer::hasUnsentAnswers() const
+bool HttpServer::hasUndeliveredAnswers() const
 {
     return std::any_of(m_connections.begin(), m_connections.end(),
-                       [](const auto &connection) { return connection->hasUnsentAnswers(); });
+                       [](const auto &connection) { return connection->hasUndeliveredAnswers(); });
 }
 
 } // namespace godwitlift
--- a/packages/node/src/http/HttpServer.h
+++ b/packages/node/src/http/HttpServer.h
@@ -120,8 +120,9 @@
     /// Closes connections that exceeded the head or idle timeout. To be called about once a second.
     void closeTimedOutConnections();
     std::size_t connectionCount() const { return m_connections.size(); }
-    /// True if any request is unanswered or any answer is not completely written to its socket.
-    bool hasUnsentAnswers() const;
+    /// True if any request is unanswered or any answer has not reached its client's host. The exit
+    /// of the process would discard what the socket holds as soon as the client sends more.
+    bool hasUndeliveredAnswers() const;
 
 private:
     friend class ServerConnection;
--- a/packages/node/src/http/Network.cpp
+++ b/packages/node/src/http/Network.cpp
@@ -3,7 +3,9 @@
 #include "http/Network.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -49,6 +51,14 @@
     return absl::DurationFromTimespec(now);
 }
 
+std::size_t unacknowledgedBytes(TcpSocket &socket)
+{
+    int bytes = 0;
+    if (!socket.is_open() || ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0)
+        return 0;
+    return static_cast<std::size_t>(std::max(bytes, 0));
+}
+
 void resetConnection(TcpSocket &socket)
 {
     setOption(socket, SOL_SOCKET, SO_LINGER, linger{ 1, 0 });
--- a/packages/node/src/http/Network.h
+++ b/packages/node/src/http/Network.h
@@ -33,6 +33,9 @@
 /// Disables Nagle's algorithm and enables keep-alive probes, which detect an unresponsive peer.
 void configureConnection(TcpSocket &socket);
 
+/// Sent bytes that the peer's host has not acknowledged; 0 if the system does not tell.
+std::size_t unacknowledgedBytes(TcpSocket &socket);
+
 /// Closes a connection with RST; unsent data is discarded.
 void resetConnection(TcpSocket &socket);
 
--- a/packages/node/src/http/ServerConnection.h
+++ b/packages/node/src/http/ServerConnection.h
@@ -33,6 +33,8 @@
     {
         return !m_exchanges.empty() || !m_writeBuffer.empty() || !m_pendingOutput.empty();
     }
+    /// True if answers are due, or on their way to the client's host.
+    bool hasUndeliveredAnswers() { return hasUnsentAnswers() || unacknowledgedBytes(m_socket) > 0; }
     /// Closes the connection if it exceeded the head, idle or linger timeout.
     void closeIfTimedOut(absl::Time now);
     /// An exchange has more to send, is complete or was aborted.
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -550,7 +550,7 @@
         if (now >= m_shutdown->finalAnswerTime())
             m_ingress.failOpenCalls();
         const bool hasRequestsInProgress = m_ingress.callCount() > 0 || m_gate.attemptCount() > 0
-                                           || m_clientServer.hasUnsentAnswers()
+                                           || m_clientServer.hasUndeliveredAnswers()
                                            || m_mesh.hasUnfinishedAnswers();
         if (!hasRequestsInProgress)
             m_loop.stop();
--- a/tests/node/PipelinedAnswerTests.cpp
+++ b/tests/node/PipelinedAnswerTests.cpp
@@ -98,7 +98,7 @@
     path.runUntil([&] { return path.gate.attemptCount() == 1; });
     writeBeginOfAnswer(path, second, "r2");
     path.loop.run_for(std::chrono::milliseconds(20));
-    REQUIRE(path.httpServer.hasUnsentAnswers());
+    REQUIRE(path.httpServer.hasUndeliveredAnswers());
     REQUIRE(client.received.size() < CompleteBytes);
     second.closeWithReset();
     path.runUntil([&] { return client.isClosedByPeer; });
@@ -107,3 +107,29 @@
     // What follows is missing or cut, never complete.
     CHECK_FALSE(contains(client.received, std::string(StreamedBytes, 'x')));
 }
+
+// Guards against an exit that discards an answer on its way: the socket of a process that has ended
+// is reset by the next bytes of its client.
+TEST_CASE("a stopping node waits until the last answers have reached their clients")
+{
+    constexpr int ReceiveBufferBytes = 16'384;
+    RequestPath path;
+    path.configure();
+    TestConnection client(path.loop);
+    client.socket.open(asio::ip::tcp::v4());
+    client.socket.set_option(asio::socket_base::receive_buffer_size(ReceiveBufferBytes));
+    client.socket.connect(loopback(path.clientPort));
+    client.write(makeGetRequest("/look/1", "r1"));
+    TestConnection &server = path.awaitBackendRequest("X-Attempt-Id: r1");
+    path.httpServer.disableKeepAlive();
+    path.httpServer.stopAccepting();
+    path.sendAll(server, makeResponse("r1", std::string(StreamedBytes, 'o')));
+    path.runUntil([&] { return path.ingress.callCount() == 0; });
+    path.loop.run_for(std::chrono::milliseconds(50));
+    CHECK(path.httpServer.hasUndeliveredAnswers());
+    client.startReading();
+    path.runUntil([&] { return !path.httpServer.hasUndeliveredAnswers(); });
+    client.write(makeGetRequest("/look/2", "r2"));
+    path.runUntil([&] { return client.isClosedByPeer; });
+    CHECK(contains(client.received, "\r\n\r\n" + std::string(StreamedBytes, 'o')));
+}
