Log crashes of servers that are not charged to a request

Cause of this change: the logs showed 21 lost answers with one content and nothing else, so that two hypotheses could not be told apart: the ends of servers are not noticed, or they are not charged because of an answer shortly before. Change: event server-crash-not-charged with the age of the answer. The test "a request that is answered is served, though it was in progress when servers ended" counts the event; all node tests pass.

--- a/packages/decisions/include/godwitlift/traffic/CrashHistory.h
+++ b/packages/decisions/include/godwitlift/traffic/CrashHistory.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <vector>
 
 namespace godwitlift {
@@ -65,6 +66,8 @@
     /// Charges a request of this node's backend server. False if it is protected by an answer or
     /// the crash is known.
     bool charge(const ServerCrash &crash, absl::Time now);
+    /// Age of the answer that protects the request from being charged; none if nothing does.
+    std::optional<absl::Duration> protectingAnswerAge(ContentDigest content, absl::Time now) const;
     /// Adds a crash that another node has charged.
     void add(const AgedCrash &crash, absl::Time now);
     /// A backend server has answered the request. True if that cleared charges, which the other
--- a/packages/decisions/src/traffic/CrashHistory.cpp
+++ b/packages/decisions/src/traffic/CrashHistory.cpp
@@ -8,10 +8,16 @@
 
 bool CrashHistory::charge(const ServerCrash &crash, absl::Time now)
 {
-    const auto answer = m_answers.find(crash.content);
-    if (answer != m_answers.end() && now - answer->second < AnswerProtection)
-        return false;
-    return insert(crash, now, now);
+    return !protectingAnswerAge(crash.content, now) && insert(crash, now, now);
+}
+
+std::optional<absl::Duration> CrashHistory::protectingAnswerAge(ContentDigest content,
+                                                                absl::Time now) const
+{
+    const auto answer = m_answers.find(content);
+    if (answer == m_answers.end() || now - answer->second >= AnswerProtection)
+        return std::nullopt;
+    return now - answer->second;
 }
 
 void CrashHistory::add(const AgedCrash &crash, absl::Time now)
--- a/packages/node/src/gate/BackendServerGate.cpp
+++ b/packages/node/src/gate/BackendServerGate.cpp
@@ -616,6 +616,9 @@
     for (const ServerCrash &crash : m_crashDetector.onServerEnded(steadyNow())) {
         if (m_options.crashHistory.charge(crash, steadyNow()))
             m_listener.onServerCrashed(crash);
+        else if (const auto answerAge =
+                         m_options.crashHistory.protectingAnswerAge(crash.content, steadyNow()))
+            m_listener.onCrashNotCharged(crash, *answerAge);
     }
 }
 
--- a/packages/node/src/gate/BackendServerGate.h
+++ b/packages/node/src/gate/BackendServerGate.h
@@ -52,6 +52,9 @@
     virtual void onRequestLimitUnreadable() = 0;
     /// The backend server ended while it ran a request. Called for each request that it ran.
     virtual void onServerCrashed(const ServerCrash &crash) = 0;
+    /// As onServerCrashed(), for a request that was answered \p answerAge before and is therefore
+    /// not held to be the cause.
+    virtual void onCrashNotCharged(const ServerCrash &crash, absl::Duration answerAge) = 0;
     /// The backend server has answered a request under which servers had ended.
     virtual void onCrashesCleared(ContentDigest content) = 0;
     /// An answer to \p requestId says that the backend server leaves, which was not known. The gate
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -368,6 +368,16 @@
 
     void onServerCrashed(const ServerCrash &crash) override { m_mesh.broadcastCrash(crash); }
 
+    void onCrashNotCharged(const ServerCrash &crash, absl::Duration answerAge) override
+    {
+        m_log.write("server-crash-not-charged",
+                    LogLine("server-crash-not-charged")
+                            .add("content", crash.content.value())
+                            .add("process", crash.process.value())
+                            .add("answered_ms", answerAge),
+                    steadyNow());
+    }
+
     void onCrashesCleared(ContentDigest content) override { m_mesh.broadcastAnswered(content); }
 
     void onLeavingNotice(const std::string &requestId, const DrainRecord &record) override
--- a/tests/node/CrashingRequestTests.cpp
+++ b/tests/node/CrashingRequestTests.cpp
@@ -91,6 +91,7 @@
     for (int i = 0; i < 5; ++i) {
         CHECK(server.isServed("/look/popular"));
         server.crashUnder({ "/look/popular", "/look/once-" + std::to_string(i) });
+        CHECK(path.unchargedCrashes == i + 1);
     }
     CHECK(server.isServed("/look/popular"));
     for (int i = 0; i < 5; ++i)
--- a/tests/node/RequestPath.h
+++ b/tests/node/RequestPath.h
@@ -177,6 +177,7 @@
     std::vector<Reason> refusals;
     int unreadableLimits = 0;
     int leavingNotices = 0;
+    int unchargedCrashes = 0;
 
 private:
     void accept()
@@ -205,6 +206,7 @@
     void onRequestLimitChanged() override {}
     void onRequestLimitUnreadable() override { ++unreadableLimits; }
     void onServerCrashed(const ServerCrash &) override {}
+    void onCrashNotCharged(const ServerCrash &, absl::Duration) override { ++unchargedCrashes; }
     void onCrashesCleared(ContentDigest) override {}
     void onLeavingNotice(const std::string &, const DrainRecord &) override { ++leavingNotices; }
     AttemptGateway *gatewayTo(const HostId &) override { return peer == nullptr ? &gateway : peer; }
