Count crashes of servers for each calling service

Cause: the digest that identifies a crashing request left out who calls, so that an answer to another caller of the path protected it from being charged. Change: the calling service, which the node knows and tells the server, is a part of the digest; with it of charges, quarantines, trials, notices to peers and rows. That removes the fault: only answers to the same caller show that the request is safe.

--- a/packages/node/src/ingress/IngressCall.cpp
+++ b/packages/node/src/ingress/IngressCall.cpp
@@ -28,14 +28,15 @@
     return absl::StrFormat("Retry-After: %.3f\r\n", absl::ToDoubleSeconds(retryAfter));
 }
 
-/// Digest of what a client asks for. Header fields other than the host are left out: ids, deadlines
-/// and the caller's host differ between repetitions of a request.
-ContentDigest contentDigest(const RequestHead &head, std::string_view body)
+/// Digest of what a client asks for, and of the service that asks, since a server may treat its
+/// callers differently. Header fields other than the host are left out: ids, deadlines and the
+/// caller's host differ between repetitions of a request.
+ContentDigest contentDigest(const ServiceId &caller, const RequestHead &head, std::string_view body)
 {
     const std::string requestLine =
             absl::StrCat(head.method, " ", head.target, " ",
                          toAbslStringView(head.fields.find("host").value_or(std::string_view())));
-    return ContentDigest(hashOf(body, hashOf(requestLine)));
+    return ContentDigest(hashOf(body, hashOf(requestLine, hashOf(caller.value()))));
 }
 
 bool methodExpectsBody(const std::string &method)
@@ -74,7 +75,7 @@
     , m_destination(std::move(destination))
     , m_requestId(std::move(requestId))
     , m_body(std::make_shared<const std::string>(std::move(m_exchange->request().body)))
-    , m_content(contentDigest(m_exchange->request().head, *m_body))
+    , m_content(contentDigest(ingress.m_options.ownService, m_exchange->request().head, *m_body))
     , m_deadline(m_exchange->arrivalTime() + std::min(clientTimeout, route.timeout))
     , m_deadlineTimer(ingress.m_loop.get_executor())
 {
--- a/tests/node/CrashingRequestTests.cpp
+++ b/tests/node/CrashingRequestTests.cpp
@@ -41,10 +41,11 @@
     }
 
     /// Sends a request and answers it; false if it was refused without reaching the server.
-    bool isServed(const std::string &target)
+    bool isServed(const std::string &target) { return isServed(target, m_path.clientPort); }
+    bool isServed(const std::string &target, std::uint16_t clientPort)
     {
         const std::string id = "s" + std::to_string(++m_lastId);
-        TestConnection &client = m_path.connectClient();
+        TestConnection &client = m_path.connectClient(clientPort);
         client.write(makeGetRequest(target, id));
         TestConnection *server = nullptr;
         m_path.runUntil([&] {
@@ -67,6 +68,34 @@
     int m_processNumber = 1;
 };
 
+/// Clients beside a backend server of another service.
+class OtherCaller final
+{
+public:
+    explicit OtherCaller(RequestPath &path)
+        : m_ingress(path.loop,
+                    { HostId("other"),
+                      ServiceId("ledger"),
+                      path.protocol->headerNames(),
+                      path.crashHistory,
+                      { 0.2, 50, absl::Seconds(10) },
+                      asio::ip::address(),
+                      path.rollouts },
+                    path.selector, path.gateways(), path.log, path.metrics, path.random)
+        , m_server(path.loop, path.linkScheduler, path.inputKeeper, m_ingress)
+        , m_port(path.listen(m_server))
+    {
+        m_ingress.setCatalogue(RequestPath::makeCatalogue());
+    }
+
+    std::uint16_t port() const { return m_port; }
+
+private:
+    IngressService m_ingress;
+    HttpServer m_server;
+    std::uint16_t m_port;
+};
+
 } // namespace
 
 // Guards against a request that is sent to servers again after three have ended under it (incident
@@ -98,6 +127,24 @@
         CHECK(server.isServed("/look/once-" + std::to_string(i)));
 }
 
+// Guards against a request that ends servers for one caller and is never quarantined, since other
+// callers get answers to the same one (review case 8).
+TEST_CASE("answers to other callers do not clear a request under which servers ended")
+{
+    RequestPath path;
+    path.configure();
+    OtherCaller other(path);
+    CrashingServer server(path);
+    for (int i = 0; i < 3; ++i) {
+        CHECK(server.isServed("/look/crash", other.port()));
+        server.crashUnder({ "/look/crash" });
+    }
+    CHECK(path.unchargedCrashes == 0);
+    CHECK_FALSE(server.isServed("/look/crash"));
+    CHECK(server.isServed("/look/crash", other.port()));
+    CHECK_FALSE(server.isServed("/look/crash"));
+}
+
 TEST_CASE("a lost answer of a server that goes on is no crash")
 {
     RequestPath path;
--- a/tests/node/RequestPath.h
+++ b/tests/node/RequestPath.h
@@ -77,17 +77,12 @@
         , httpServer(loop, linkScheduler, inputKeeper, ingress)
     {
         accept();
-        // Finds a port that is free at the moment; another process may take it before it is used.
-        TcpAcceptor portProbe(loop.get_executor(), loopback(0));
-        clientPort = portProbe.local_endpoint().port();
-        portProbe.close();
-        std::string error;
-        REQUIRE(httpServer.listen(loopback(clientPort), error));
+        clientPort = listen(httpServer);
         selector.addHost(HostId("self"), ZoneId("north"));
     }
 
-    /// Sets an idempotent and a non-idempotent route and announces a backend server with 4 slots.
-    void configure()
+    /// An idempotent and a non-idempotent route, and one that splits its requests.
+    static std::shared_ptr<const RouteCatalogue> makeCatalogue()
     {
         const auto makeRoute = [](const char *id, const char *prefix, RetrySafety retrySafety) {
             TrafficRoute route;
@@ -103,12 +98,17 @@
         };
         TrafficRoute split = *makeRoute("split", "/split/", RetrySafety::Idempotent);
         split.destinations = { { ServiceId("desk"), 3 }, { ServiceId("gone"), 1 } };
-        ingress.setCatalogue(
-                RouteCatalogue::create(Version(1),
-                                       { makeRoute("look", "/look/", RetrySafety::Idempotent),
-                                         makeRoute("pay", "/pay/", RetrySafety::AtMostOnce),
-                                         std::make_shared<const TrafficRoute>(split) },
-                                       {}, {}));
+        return RouteCatalogue::create(Version(1),
+                                      { makeRoute("look", "/look/", RetrySafety::Idempotent),
+                                        makeRoute("pay", "/pay/", RetrySafety::AtMostOnce),
+                                        std::make_shared<const TrafficRoute>(split) },
+                                      {}, {});
+    }
+
+    /// Sets the routes and announces a backend server with 4 slots.
+    void configure()
+    {
+        ingress.setCatalogue(makeCatalogue());
         ServerAnnouncement announcement;
         announcement.id = BackendServerId("i-1");
         announcement.startedUnixMs = 5;
@@ -117,6 +117,18 @@
         gate.onAnnouncement(announcement);
     }
 
+    /// Listens on a port that is free at the moment; another process may take it before it is used.
+    std::uint16_t listen(HttpServer &server)
+    {
+        TcpAcceptor portProbe(loop.get_executor(), loopback(0));
+        const std::uint16_t port = portProbe.local_endpoint().port();
+        portProbe.close();
+        std::string error;
+        REQUIRE(server.listen(loopback(port), error));
+        return port;
+    }
+    GatewayLookup &gateways() { return *this; }
+
     /// Runs the event loop until \p isDone returns true; fails the test after at most 10 s.
     void runUntil(const std::function<bool()> &isDone)
     {
@@ -125,10 +137,11 @@
         REQUIRE(isDone());
     }
 
-    TestConnection &connectClient()
+    TestConnection &connectClient() { return connectClient(clientPort); }
+    TestConnection &connectClient(std::uint16_t port)
     {
         TestConnection &connection = m_clientConnections.emplace_back(loop);
-        connection.socket.connect(loopback(clientPort));
+        connection.socket.connect(loopback(port));
         connection.startReading();
         return connection;
     }
