Bound the answers that a node holds for all its clients together

A host of 96 MB reached 177.5 MB with one answer of 125 KB on each of 1,400 connections. Cause: a connection yielded output only above 256 KiB, so that the bound of one answer stood for that of all; answers held back by calls, paced frames and heads of pipelined requests were in no account. Change: a second budget, for output; above it connections end by bytes times the time since the client last took some. That bounds the sum, whatever the slots in use.

--- a/packages/decisions/include/godwitlift/input/InputBudget.h
+++ b/packages/decisions/include/godwitlift/input/InputBudget.h
@@ -42,6 +42,15 @@
     /// still yield in the order in which they began.
     static constexpr std::size_t MinWeightBytes = 4096;
 
+    /// Share of the memory that unsent output may occupy, and the share that it and all input may
+    /// occupy together.
+    static constexpr double OutputShare = 0.2;
+    static constexpr double SharedShare = 0.75;
+    /// Room for unsent output also while large bodies are held.
+    static constexpr std::size_t OutputReserveBytes = std::size_t(8) * 1024 * 1024;
+
+    /// Limit of unsent output for a host with \p memoryBytes that holds \p inputBytes of input.
+    static std::size_t outputLimitOf(std::size_t memoryBytes, std::size_t inputBytes);
     /// Limit for a host with \p memoryBytes, which always holds one message of the largest size.
     static std::size_t limitOf(std::size_t memoryBytes, std::size_t largestMessageBytes);
 
--- a/packages/decisions/src/input/InputBudget.cpp
+++ b/packages/decisions/src/input/InputBudget.cpp
@@ -12,6 +12,14 @@
                     largestMessageBytes + ReserveBytes);
 }
 
+std::size_t InputBudget::outputLimitOf(std::size_t memoryBytes, std::size_t inputBytes)
+{
+    const double memory = static_cast<double>(memoryBytes);
+    const double room = memory * SharedShare - static_cast<double>(inputBytes);
+    return std::max(static_cast<std::size_t>(std::clamp(room, 0.0, memory * OutputShare)),
+                    OutputReserveBytes);
+}
+
 InputBudget::HolderId InputBudget::add()
 {
     if (m_freeIds.empty()) {
--- a/packages/node/src/http/HttpMessage.cpp
+++ b/packages/node/src/http/HttpMessage.cpp
@@ -20,6 +20,14 @@
     return absl::EqualsIgnoreCase(toAbslStringView(a), toAbslStringView(b));
 }
 
+std::size_t heldBytes(const RequestHead &head)
+{
+    std::size_t bytes = head.target.capacity();
+    for (const HeaderField &field : head.fields.all())
+        bytes += sizeof field + field.name.capacity() + field.value.capacity();
+    return bytes;
+}
+
 std::optional<std::string_view> HeaderFields::find(std::string_view name) const
 {
     for (const HeaderField &field : m_fields) {
--- a/packages/node/src/http/HttpMessage.h
+++ b/packages/node/src/http/HttpMessage.h
@@ -47,6 +47,9 @@
     bool expectsContinue = false;
 };
 
+/// Memory that \p head occupies, approximately.
+std::size_t heldBytes(const RequestHead &head);
+
 /// A complete request.
 struct HttpRequest
 {
--- a/packages/node/src/http/HttpServer.cpp
+++ b/packages/node/src/http/HttpServer.cpp
@@ -26,6 +26,7 @@
     : m_connection(std::move(connection))
     , m_request(std::move(request))
     , m_requestBodyBytes(m_request.body.size())
+    , m_requestHeadBytes(heldBytes(m_request.head))
     , m_arrivalTime(steadyNow())
 {}
 
@@ -82,6 +83,13 @@
     flush();
 }
 
+void Exchange::setBytesHeldByCall(std::size_t bytes)
+{
+    m_bytesHeldByCall = bytes;
+    if (const auto connection = m_connection.lock())
+        connection->accountHeldBytes();
+}
+
 bool Exchange::withdrawAnswer()
 {
     if (m_isTakenByConnection)
--- a/packages/node/src/http/HttpServer.h
+++ b/packages/node/src/http/HttpServer.h
@@ -52,6 +52,8 @@
                      std::optional<std::uint64_t> length);
     void writeBody(std::string_view data);
     void endAnswer();
+    /// Accounts \p bytes of the answer that its call holds back.
+    void setBytesHeldByCall(std::size_t bytes);
     /// Discards an answer that has begun, so that another one can take its place. Returns false if
     /// the connection has taken a part of it.
     bool withdrawAnswer();
@@ -70,6 +72,8 @@
     HttpRequest m_request;
     /// Size of the request's body, which its call holds until the exchange is complete.
     std::size_t m_requestBodyBytes = 0;
+    std::size_t m_requestHeadBytes = 0;
+    std::size_t m_bytesHeldByCall = 0; ///< Of the answer.
     absl::Time m_arrivalTime;
     std::string m_outputBuffer;          ///< Not yet handed to the connection.
     std::size_t m_bufferedBodyBytes = 0; ///< Body bytes in m_outputBuffer.
--- a/packages/node/src/http/InputKeeper.cpp
+++ b/packages/node/src/http/InputKeeper.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Accounts of connections and the enforcement of the budget.
+/// Accounts of connections and the enforcement of the budgets.
 #include "http/InputKeeper.h"
 
 #include <boost/asio/post.hpp>
@@ -8,23 +8,25 @@
 
 InputKeeper::InputKeeper(asio::io_context &loop, std::size_t limitBytes, YieldCallback onYield)
     : m_loop(loop)
-    , m_budget(limitBytes)
+    , m_ledgers{ Ledger(limitBytes), Ledger(std::numeric_limits<std::size_t>::max()) }
     , m_onYield(std::move(onYield))
 {}
 
-InputKeeper::Account::Account(InputKeeper &keeper, InputHolder &holder)
+InputKeeper::Account::Account(InputKeeper &keeper, InputHolder &holder, HeldKind kind)
     : m_keeper(keeper)
-    , m_id(keeper.m_budget.add())
+    , m_kind(kind)
+    , m_id(keeper.ledger(kind).budget.add())
 {
-    if (m_keeper.m_holders.size() <= m_id)
-        m_keeper.m_holders.resize(m_id + 1);
-    m_keeper.m_holders[m_id] = &holder;
+    auto &holders = m_keeper.ledger(kind).holders;
+    if (holders.size() <= m_id)
+        holders.resize(m_id + 1);
+    holders[m_id] = &holder;
 }
 
 InputKeeper::Account::~Account()
 {
-    m_keeper.m_holders[m_id] = nullptr;
-    m_keeper.m_budget.remove(m_id);
+    m_keeper.ledger(m_kind).holders[m_id] = nullptr;
+    m_keeper.ledger(m_kind).budget.remove(m_id);
 }
 
 void InputKeeper::Account::setHeld(std::size_t bytes, YieldOrder order, absl::Time since)
@@ -35,11 +37,21 @@
     m_bytes = bytes;
     m_order = order;
     m_since = since;
-    m_keeper.m_budget.setHeld(m_id, bytes, order, since);
-    if (hasGrown && m_keeper.m_budget.isExceeded())
+    InputBudget &budget = m_keeper.ledger(m_kind).budget;
+    budget.setHeld(m_id, bytes, order, since);
+    if (!hasGrown)
+        return;
+    m_keeper.updateOutputLimit();
+    if (budget.isExceeded())
         m_keeper.scheduleEnforcement();
 }
 
+void InputKeeper::updateOutputLimit()
+{
+    ledger(HeldKind::Output)
+            .budget.setLimit(InputBudget::outputLimitOf(m_memoryBytes, budget().heldBytes()));
+}
+
 void InputKeeper::scheduleEnforcement()
 {
     if (m_isEnforcementScheduled || m_isEnforcing)
@@ -53,17 +65,24 @@
 
 void InputKeeper::enforce()
 {
-    if (m_isEnforcing || !m_budget.isExceeded())
+    if (m_isEnforcing)
         return;
     m_isEnforcing = true;
-    for (const InputBudget::HolderId id : m_budget.chooseYielding(steadyNow())) {
+    enforce(ledger(HeldKind::Input));
+    updateOutputLimit();
+    enforce(ledger(HeldKind::Output));
+    m_isEnforcing = false;
+}
+
+void InputKeeper::enforce(Ledger &ledger)
+{
+    for (const InputBudget::HolderId id : ledger.budget.chooseYielding(steadyNow())) {
         // An earlier holder's end may have ended this one.
-        if (m_holders[id] == nullptr)
+        if (ledger.holders[id] == nullptr)
             continue;
-        m_onYield(m_budget.order(id));
-        m_holders[id]->yieldInput();
+        m_onYield(ledger.budget.order(id));
+        ledger.holders[id]->yieldHeld();
     }
-    m_isEnforcing = false;
 }
 
 } // namespace godwitlift
--- a/packages/node/src/http/ServerConnection.cpp
+++ b/packages/node/src/http/ServerConnection.cpp
@@ -26,7 +26,9 @@
 ServerConnection::ServerConnection(HttpServer &server, TcpSocket socket)
     : m_server(server)
     , m_socket(std::move(socket))
+    , m_outputHolder(*this)
     , m_account(std::in_place, server.m_inputKeeper, *this)
+    , m_outputAccount(std::in_place, server.m_inputKeeper, m_outputHolder, HeldKind::Output)
     , m_lastActivity(steadyNow())
 {}
 
@@ -50,6 +52,7 @@
     boost::system::error_code ignored; // The connection is discarded either way.
     m_socket.close(ignored);
     m_account.reset();
+    m_outputAccount.reset();
     const auto self = shared_from_this();
     m_server.m_connections.erase(self);
     discardExchanges();
@@ -120,7 +123,8 @@
 {
     std::size_t bytes = heapBytes(m_pendingOutput) + heapBytes(m_writeBuffer);
     for (const auto &exchange : m_exchanges)
-        bytes += heapBytes(exchange->m_outputBuffer);
+        bytes += heapBytes(exchange->m_outputBuffer) + exchange->m_bytesHeldByCall
+                 + exchange->m_requestHeadBytes;
     return bytes;
 }
 
@@ -128,28 +132,44 @@
 {
     if (!m_account)
         return;
-    const std::size_t output = outputBytes();
-    std::size_t bytes = output + heapBytes(m_input);
+    std::size_t bytes = heapBytes(m_input);
     for (const auto &exchange : m_exchanges)
         bytes += PassedOnCopies * exchange->m_requestBodyBytes;
     if (m_parser != nullptr)
         m_account->setHeld(bytes + m_parser->heldBytes(), YieldOrder::Unfinished, m_requestStart);
-    else if (output > KeptOutputBytes && !m_exchanges.empty())
-        m_account->setHeld(bytes, YieldOrder::Waiting, m_exchanges.front()->arrivalTime());
     else
         m_account->setHeld(bytes, YieldOrder::Never, absl::InfinitePast());
+    accountOutput();
 }
 
-void ServerConnection::yieldInput()
+void ServerConnection::accountOutput()
+{
+    const std::size_t bytes = outputBytes();
+    if (bytes == 0)
+        m_outputSince = absl::InfiniteFuture();
+    else if (m_outputSince == absl::InfiniteFuture())
+        m_outputSince = steadyNow();
+    m_outputAccount->setHeld(bytes,
+                             bytes > KeptOutputBytes ? YieldOrder::Waiting : YieldOrder::Never,
+                             m_outputSince);
+}
+
+void ServerConnection::yieldHeld()
 {
     const auto self = shared_from_this();
-    if (m_parser != nullptr)
-        refuseForBudget();
-    else
-        close();
+    refuseForBudget();
     accountHeldBytes();
 }
 
+void ServerConnection::yieldOutput()
+{
+    const auto self = shared_from_this();
+    if (m_completeOutputBytes > KeptOutputBytes)
+        close();
+    else
+        breakOff();
+}
+
 void ServerConnection::refuseForBudget()
 {
     rejectRequest(503, BudgetRetryAfterField);
@@ -400,6 +420,7 @@
 void ServerConnection::onWritten(const boost::system::error_code &error)
 {
     m_isWriting = false;
+    m_outputSince = absl::InfiniteFuture();
     if (m_isClosed)
         return;
     if (error) {
--- a/packages/node/src/http/ServerConnection.h
+++ b/packages/node/src/http/ServerConnection.h
@@ -22,8 +22,8 @@
     void close();
     /// Accepts no further requests and closes after the outstanding answers.
     void closeAfterAnswers();
-    /// Refuses the unfinished request, or closes the connection if there is none.
-    void yieldInput() override;
+    /// Refuses the unfinished request.
+    void yieldHeld() override;
     /// Time of the last activity, or at which the unfinished request began; none if answers are
     /// due.
     std::optional<absl::Time> unusedSince() const;
@@ -37,6 +37,8 @@
     bool hasUndeliveredAnswers() { return hasUnsentAnswers() || unacknowledgedBytes(m_socket) > 0; }
     /// Closes the connection if it exceeded the head, idle or linger timeout.
     void closeIfTimedOut(absl::Time now);
+    /// States what the connection holds. To be called when that has changed.
+    void accountHeldBytes();
     /// An exchange has more to send, is complete or was aborted.
     void onExchangeProgress();
     /// Called when the head of the answer to \p exchange is written. True if that answer is the
@@ -53,9 +55,8 @@
     /// Rate below which a body is rejected once it has taken longer than the idle timeout. A client
     /// whose request has seconds left has given up long before.
     static constexpr std::size_t MinBodyBytesPerSecond = 32 * 1024;
-    /// Unsent output up to which a connection never yields; more than flow control permits for one
-    /// answer.
-    static constexpr std::size_t KeptOutputBytes = 256 * 1024;
+    /// Unsent output up to which a connection never yields.
+    static constexpr std::size_t KeptOutputBytes = 16 * 1024;
     /// Copies of a complete body: its call's, and the one on the way to the backend server.
     static constexpr std::size_t PassedOnCopies = 2;
     /// A smaller body never makes the node hold too much, and is passed on in any case.
@@ -68,7 +69,7 @@
     void parseInput();
     bool isBodyTooSlow(absl::Time now) const;
     std::size_t outputBytes() const;
-    void accountHeldBytes();
+    void accountOutput();
     void onRequestComplete();
     void rejectRequest(unsigned status, std::string_view fields = {});
     void refuseForBudget();
@@ -86,11 +87,30 @@
     void beginLingeringClose();
     void onWritten(const boost::system::error_code &error);
 
+    /// Gives up unsent answers.
+    class OutputHolder final : public InputHolder
+    {
+    public:
+        explicit OutputHolder(ServerConnection &connection)
+            : m_connection(connection)
+        {}
+        void yieldHeld() override { m_connection.yieldOutput(); }
+
+    private:
+        ServerConnection &m_connection;
+    };
+
+    void yieldOutput();
+
     HttpServer &m_server;
     TcpSocket m_socket;
-    std::optional<InputKeeper::Account> m_account; ///< None once closed.
-    std::size_t m_bodyBytes = 0;                   ///< Received of the unfinished request's body.
-    std::unique_ptr<RequestParser> m_parser;       ///< Null between requests.
+    OutputHolder m_outputHolder;
+    std::optional<InputKeeper::Account> m_account;       ///< Of input. None once closed.
+    std::optional<InputKeeper::Account> m_outputAccount; ///< None once closed.
+    absl::Time m_outputSince =
+            absl::InfiniteFuture(); ///< Since when no output has been written, if there is any.
+    std::size_t m_bodyBytes = 0;    ///< Received of the unfinished request's body.
+    std::unique_ptr<RequestParser> m_parser; ///< Null between requests.
     std::string m_input;
     std::deque<std::shared_ptr<Exchange>> m_exchanges;
     std::string m_writeBuffer;   ///< Being written if m_isWriting.
--- a/packages/node/src/ingress/IngressCall.cpp
+++ b/packages/node/src/ingress/IngressCall.cpp
@@ -10,6 +10,7 @@
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace godwitlift {
 
@@ -237,7 +238,8 @@
     m_attemptId = m_ingress.nextAttemptId();
     m_attemptStart = steadyNow();
     m_answerHead.reset();
-    m_bufferedBody.clear();
+    std::string().swap(m_bufferedBody);
+    m_exchange->setBytesHeldByCall(0);
     m_answerBytes = 0;
     m_ingress.m_selector.onAttemptSent(choice.host, m_route.id, m_body->size());
     AttemptGateway *gateway = m_ingress.m_gateways.gatewayTo(choice.host);
@@ -344,6 +346,8 @@
     m_bufferedBody += data;
     if (m_bufferedBody.size() > AnswerBufferBytes)
         beginStreaming();
+    else
+        m_exchange->setBytesHeldByCall(m_bufferedBody.capacity());
 }
 
 void IngressCall::beginStreaming()
@@ -351,8 +355,8 @@
     m_isStreaming = true;
     m_exchange->beginAnswer(m_answerHead->status, m_answerHead->reasonPhrase, m_answerHead->fields,
                             m_answerHead->contentLength);
-    const std::string buffered = std::move(m_bufferedBody);
-    m_bufferedBody.clear();
+    const std::string buffered = std::exchange(m_bufferedBody, std::string());
+    m_exchange->setBytesHeldByCall(0);
     m_exchange->writeBody(buffered);
 }
 
@@ -527,6 +531,7 @@
 
 void IngressCall::finishCall(unsigned status, Reason reason)
 {
+    m_exchange->setBytesHeldByCall(0);
     const absl::Time now = steadyNow();
     const absl::Duration latency = now - m_exchange->arrivalTime();
     m_ingress.m_metrics.recordRequest(status, reason, urgency(), latency);
--- a/packages/node/src/peers/FrameChannel.cpp
+++ b/packages/node/src/peers/FrameChannel.cpp
@@ -105,7 +105,7 @@
     accountHeldBytes();
 }
 
-void FrameChannel::yieldInput()
+void FrameChannel::yieldHeld()
 {
     const auto self = shared_from_this();
     fail("input-budget");
@@ -115,7 +115,8 @@
 {
     if (!m_account)
         return;
-    std::size_t bytes = m_readBuffer.capacity() + m_writeBuffer.capacity() + m_bytesHeldByObserver;
+    std::size_t bytes = m_readBuffer.capacity() + m_writeBuffer.capacity() + m_bytesHeldByObserver
+                        + pacedBytes();
     for (const std::string &buffer : m_queuedBuffers)
         bytes += buffer.capacity();
     m_account->setHeld(bytes, m_isPeerKnown ? YieldOrder::Never : YieldOrder::Unfinished,
@@ -152,6 +153,7 @@
                            {} };
     appendFrame(frame, {}, {}, frame.ByteSizeLong(), pacedFrame.bytes);
     m_pacedFrames.push_back(std::move(pacedFrame));
+    accountHeldBytes();
     scheduleNextPacedFrame();
 }
 
--- a/packages/node/src/peers/FrameChannel.h
+++ b/packages/node/src/peers/FrameChannel.h
@@ -55,7 +55,7 @@
     void setPeerKnown();
     /// Accounts \p bytes of messages that the observer holds.
     void setBytesHeldByObserver(std::size_t bytes);
-    void yieldInput() override;
+    void yieldHeld() override;
     bool isOpen() const { return !m_isClosed; }
     absl::Time lastReceiveTime() const { return m_lastReceiveTime; }
     bool hasUnsentFrames() const
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -183,6 +183,7 @@
         , m_finalAnswerTimer(m_loop.get_executor())
         , m_exitTimer(m_loop.get_executor())
     {
+        m_inputKeeper.setMemory(m_settings.memoryBytes);
         m_mesh.setConfigurationUpdater(m_configurationUpdater);
         m_mesh.setRolloutCoordinator(m_rollouts);
         m_configurationUpdater.setRowCallback(
@@ -273,7 +274,9 @@
                             .add("reason", name(Reason::InputBudget))
                             .add("kind", kind)
                             .add("held_bytes", m_inputKeeper.budget().heldBytes())
-                            .add("limit_bytes", m_inputKeeper.budget().limitBytes()),
+                            .add("limit_bytes", m_inputKeeper.budget().limitBytes())
+                            .add("held_output_bytes", m_inputKeeper.outputBudget().heldBytes())
+                            .add("output_limit_bytes", m_inputKeeper.outputBudget().limitBytes()),
                     steadyNow());
     }
 
@@ -424,6 +427,10 @@
         m_metrics.setGauge("held_bytes", static_cast<double>(m_inputKeeper.budget().heldBytes()));
         m_metrics.setGauge("held_bytes_limit",
                            static_cast<double>(m_inputKeeper.budget().limitBytes()));
+        m_metrics.setGauge("held_output_bytes",
+                           static_cast<double>(m_inputKeeper.outputBudget().heldBytes()));
+        m_metrics.setGauge("held_output_bytes_limit",
+                           static_cast<double>(m_inputKeeper.outputBudget().limitBytes()));
         m_metrics.setGauge("log_lines_dropped", static_cast<double>(m_log.droppedLineCount()));
     }
 
--- a/tests/node/EndlessBytesTests.cpp
+++ b/tests/node/EndlessBytesTests.cpp
@@ -155,6 +155,48 @@
     CHECK_FALSE(contains(client.received, "\r\n0\r\n\r\n"));
 }
 
+// Guards against answers that are bounded one by one but fill the memory together, and against
+// a bound that costs a client which reads its answer.
+TEST_CASE("answers without end that many clients do not read hold bounded memory together")
+{
+    constexpr std::size_t ClientCount = 150;
+    constexpr std::size_t MemoryBytes = std::size_t(40) * 1024 * 1024;
+    constexpr std::size_t WholeBodyBytes = 1'000'000;
+    RequestPath path;
+    path.inputKeeper.setMemory(MemoryBytes);
+    path.configure(ClientCount + 1);
+    path.acceptor.set_option(asio::socket_base::send_buffer_size(OutsideBufferBytes));
+    std::list<TestConnection> clients;
+    std::list<EndlessWriter> writers;
+    const auto heldBytes = [&] { return path.inputKeeper.outputBudget().heldBytes(); };
+    std::size_t peak = 0;
+    for (std::size_t i = 0; i < ClientCount; ++i) {
+        const std::string id = "r" + std::to_string(i) + ".";
+        TestConnection &client = clients.emplace_back(path.loop);
+        client.socket.open(asio::ip::tcp::v4());
+        client.socket.set_option(asio::socket_base::receive_buffer_size(OutsideBufferBytes));
+        client.socket.connect(loopback(path.clientPort));
+        client.write(makeGetRequest("/look/a", id));
+        writers.emplace_back(path.awaitBackendRequest("X-Attempt-Id: " + id),
+                             makeAnswerHead("X-Attempt-Id: " + id + "\r\nX-Response-Seal: s\r\n"),
+                             "x");
+        path.loop.run_for(std::chrono::milliseconds(5));
+        peak = std::max(peak, heldBytes());
+    }
+    TestConnection &reader = path.connectClient();
+    reader.write(makeGetRequest("/look/whole", "whole"));
+    path.sendAll(path.awaitBackendRequest("X-Attempt-Id: whole"),
+                 makeResponse("whole", std::string(WholeBodyBytes, 'y')));
+    path.runUntil([&] {
+        peak = std::max(peak, heldBytes());
+        return reader.isClosedByPeer || reader.received.size() > WholeBodyBytes;
+    });
+    CHECK(contains(reader.received, std::string(WholeBodyBytes, 'y')));
+    // One answer more may be held when the limit is noticed.
+    CHECK(peak < InputBudget::outputLimitOf(MemoryBytes, 0) + 2 * AnswerWindowBytes);
+    CHECK(path.yields > 0);
+}
+
 // Guards against a backend server that goes on sending after its caller has left.
 TEST_CASE("an answer without end stops when its client disconnects")
 {
--- a/tests/node/RequestPath.h
+++ b/tests/node/RequestPath.h
@@ -105,15 +105,15 @@
                                       {}, {});
     }
 
-    /// Sets the routes and announces a backend server with 4 slots.
-    void configure()
+    /// Sets the routes and announces a backend server.
+    void configure(std::uint32_t slots = 4)
     {
         ingress.setCatalogue(makeCatalogue());
         ServerAnnouncement announcement;
         announcement.id = BackendServerId("i-1");
         announcement.startedUnixMs = 5;
         announcement.sequence = Sequence(1);
-        announcement.slots = 4;
+        announcement.slots = slots;
         gate.onAnnouncement(announcement);
     }
 
--- a/tests/process/clients.py
+++ b/tests/process/clients.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import os
+import socket
 import sys
 
 from deployment import run_scenario, wait_until
@@ -25,6 +26,11 @@
 LARGE_BODY_BYTES = 64 * 1048576
 # Connections of a crowd whose bodies, taken together, do not fit into the memory.
 CROWD = 160
+# Answers that one host holds for its clients at the same time, and the slots of the other hosts, which
+# hold a small part of them each. The host has descriptors for all of them.
+HELD_ANSWERS = 1400
+SLOTS_PER_SERVER = 240
+MANY_DESCRIPTORS = 4096
 # Pause after each group of a crowd.
 GROUP_PAUSE = 0.004
 # Time in which a node reads what the crowd has sent, before the crowd closes.
@@ -72,7 +78,7 @@
     return clients
 
 
-def check_limits(host, memory_mb=MEMORY_MB):
+def check_limits(host, memory_mb=MEMORY_MB, max_descriptors=DESCRIPTORS):
     assert host.process.poll() is None, f"{host.name} ended with {host.process.returncode}"
     with open(f"/proc/{host.process.pid}/status", encoding="utf-8") as status:
         fields = dict(line.split(":", 1) for line in status)
@@ -80,7 +86,7 @@
     descriptors = len(os.listdir(f"/proc/{host.process.pid}/fd"))
     print(f"{host.name}: {peak_mb:.1f} MB at the peak, {descriptors} descriptors")
     assert peak_mb < memory_mb, f"{host.name} held {peak_mb:.1f} MB"
-    assert descriptors < DESCRIPTORS, f"{host.name} held {descriptors} descriptors"
+    assert descriptors < max_descriptors, f"{host.name} held {descriptors} descriptors"
 
 
 async def check_calm(deployment):
@@ -181,6 +187,48 @@
                        for _ in range(12)])
 
 
+async def open_with_small_buffer(port, request):
+    """Sends a request on a new connection, whose answer is left to the caller to read."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+    connection.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(connection, ("127.0.0.1", port))
+    await loop.sock_sendall(connection, request)
+    return connection
+
+
+def numbered(target):
+    return HEAD.replace(b"POST", b"GET").replace(b"/look/x", target).replace(b": c", b": c%d") + b"\r\n"
+
+
+async def single_answers_that_wait_behind_an_unfinished_one(deployment):
+    """As answers_that_wait_behind_an_unfinished_one, with one answer on each of many connections."""
+    request = numbered(b"/look/held") + numbered(b"/look/x").replace(b"%d", b"behind")
+    for each in deployment.hosts:
+        each.backend.answer_bytes = 125_000
+        each.backend.answer_seconds = 0.005
+        each.backend.held_event = asyncio.Event()
+    host = deployment.hosts[0]
+    for each in deployment.hosts:
+        each.backend.slots = SLOTS_PER_SERVER
+        await wait_until(lambda each=each: each.backend.announce(each.announcement_port),
+                         "an announcement with many slots")
+    await deployment.wait_until_served(host)
+    await asyncio.sleep(SETTLE_TIME)  # The hosts report their slots to each other.
+    connections = [await open_with_small_buffer(host.client_port, request % number)
+                   for number in range(HELD_ANSWERS)]
+    await asyncio.sleep(2 * SETTLE_TIME)
+    for each in deployment.hosts:
+        check_limits(each, max_descriptors=MANY_DESCRIPTORS)
+    await deployment.wait_until_served(host)
+    for connection in connections:
+        connection.close()
+    await deployment.wait_until_served(host)
+    for each in deployment.hosts:
+        check_limits(each, max_descriptors=MANY_DESCRIPTORS)
+
+
 async def heads_that_stop_short_of_their_end(deployment):
     await check_crowd(deployment, deployment.hosts[0].client_port,
                       [[HEAD] for _ in range(2 * DESCRIPTORS)], group=1)
@@ -230,6 +278,7 @@
     (bodies_far_over_the_limit, 1),
     (complete_bodies_while_servers_are_silent, 2),
     (answers_that_wait_behind_an_unfinished_one, 2),
+    (single_answers_that_wait_behind_an_unfinished_one, 7),
     (heads_that_stop_short_of_their_end, 1),
     (bodies_at_the_other_listeners, 1),
     (strangers_at_the_path_between_nodes, 2),
@@ -240,10 +289,12 @@
 def main():
     def options_of(scenario):
         is_large = scenario == single_bodies_of_the_largest_size_on_a_small_host
-        limits = {"descriptors": DESCRIPTORS}
+        holds_many_answers = scenario == single_answers_that_wait_behind_an_unfinished_one
+        limits = {"descriptors": MANY_DESCRIPTORS if holds_many_answers else DESCRIPTORS}
         if "--unlimited" not in sys.argv:
             limits["memory_mb"] = 160 if is_large else MEMORY_MB
-        return {"limits": limits, "body_bytes": LARGE_BODY_BYTES if is_large else BODY_BYTES}
+        return {"limits": limits, "body_bytes": LARGE_BODY_BYTES if is_large else BODY_BYTES,
+                "max_connections": 2 * SLOTS_PER_SERVER if holds_many_answers else 100}
 
     run_scenario(SCENARIOS, options_of)
 
--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -102,7 +102,7 @@
     """A store and hosts whose backend servers all run the same service."""
 
     def __init__(self, folder, host_count, is_first_start=False, zone_count=1, limits=None,
-                 body_bytes=1048576):
+                 body_bytes=1048576, max_connections=100):
         self.store = Store()
         self.executions = {}
         self.crashes = {}  # As in BackendServer, of all hosts.
@@ -113,6 +113,7 @@
         self.last_request_number = 0
         self.version = 0
         self.body_limit = body_bytes
+        self.max_connections = max_connections  # Of each backend server.
 
     async def start(self):
         await self.store.start(STORE_PORT)
@@ -134,7 +135,8 @@
                             "timeout": "20s", "target_latency": "500ms", "priority": 0,
                             "service": "desk", "max_attempts": 2}} for name in names]
         service = {"entry_kind": "services", "metadata": {"name": "desk"},
-                   "spec": {"health_path": "/health", "max_connections": 100}}
+                   "spec": {"health_path": "/health",
+                            "max_connections": self.max_connections}}
         limits = {"entry_kind": "limits", "metadata": {},
                   "spec": {"max_header_bytes": 16384, "max_body_bytes": self.body_limit,
                            "header_timeout": "3000ms", "idle_timeout": "15s"}}
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -208,6 +208,7 @@
         self.answer_early = None  # If set, as in HttpStream.
         self.answer_seconds = None  # If set, requests run for this time.
         self.answer_bytes = None  # If set, answers have bodies of this size.
+        self.slots = 8
         self.held_event = None  # If set, requests whose target ends with /held run until it happens.
         self.answer_event = None  # If set, requests run until it happens instead of a short time.
         self.restart()
@@ -244,7 +245,8 @@
             sequence = self.sequence
         state = state or self.state
         body = json.dumps({"service": self.service, "address": self.address, "zone": "z",
-                           "version": "v1", "slots": 8, "state": state, "cold_remaining": "0ms",
+                           "version": "v1", "slots": self.slots, "state": state,
+                           "cold_remaining": "0ms",
                            "sequence": sequence, "born": self.started_unix_ms}).encode()
         return await self.call_node(announcement_port, "Heartbeat", body, state == "draining")
 
@@ -306,7 +308,7 @@
             is_healthy = self.state == "ready" and not self.fails_health_check
             status = "200 OK" if is_healthy else "503 Service Unavailable"
             await stream.send_message(f"HTTP/1.1 {status}", {"X-Instance-Id": self.health_id or self.id,
-                                                             "X-Server-Load": "0,0,8",
+                                                             "X-Server-Load": f"0,0,{self.slots}",
                                                              **(self.notice_fields()
                                                                 if self.names_limit_in_health
                                                                 else {})})
--- a/tests/unit/InputBudgetTests.cpp
+++ b/tests/unit/InputBudgetTests.cpp
@@ -55,3 +55,13 @@
     CHECK(InputBudget::limitOf(160'000'000, Largest) > Largest);
     CHECK(InputBudget::limitOf(160'000'000, 1024 * 1024) == 48'000'000);
 }
+
+// Guards against a large body and the answers to other clients that do not fit into the memory
+// together, and against a body that leaves no room for any answer.
+TEST_CASE("unsent output has its share of the memory, and less while large bodies are held")
+{
+    constexpr std::size_t Memory = 160'000'000;
+    CHECK(InputBudget::outputLimitOf(Memory, 0) == 32'000'000);
+    CHECK(InputBudget::outputLimitOf(Memory, 100'000'000) == 20'000'000);
+    CHECK(InputBudget::outputLimitOf(Memory, 150'000'000) == InputBudget::OutputReserveBytes);
+}
