Bound what the stand-alone node takes of bytes that are no answer

Cause: the body of a discarded answer, trailers and the line of a chunk size had no bound, and libcurl reads on without returning to the loop that checks the deadline. Change: 64 KiB of a discarded body, 64 KiB of heads and trailers, 256 KiB after the head without the body growing; checks from the progress callback; the verdict of a refusal is taken from its head. Each kind then ends at the first bytes beyond.

--- a/packages/adapters/src/CurlBackendClient.cpp
+++ b/packages/adapters/src/CurlBackendClient.cpp
@@ -31,6 +31,13 @@
 constexpr std::size_t MaxHeaderCount = 128;
 constexpr std::size_t MaxWorkerCount = 256;
 constexpr int ServiceUnavailable = 503;
+/// Largest head of an answer, with the interim ones before it and its trailers.
+constexpr std::size_t MaxHeadBytes = std::size_t(64) * 1024;
+/// Body bytes that are read of an answer that is not forwarded, to reuse its connection.
+constexpr std::size_t DiscardedBodyLimit = std::size_t(64) * 1024;
+/// Bytes after the head that may be taken without the body growing. libcurl itself has no limit for
+/// the line of a chunk size.
+constexpr std::size_t MaxBytesWithoutProgress = std::size_t(256) * 1024;
 
 bool isHopByHop(const std::string &name)
 {
@@ -81,16 +88,21 @@
         setOption(CURLOPT_HEADERDATA, this);
         setOption(CURLOPT_WRITEFUNCTION, &Transfer::bodyCallback);
         setOption(CURLOPT_WRITEDATA, this);
+        // While data is available, libcurl reads on without returning to the event loop.
+        setOption(CURLOPT_NOPROGRESS, 0L);
+        setOption(CURLOPT_XFERINFOFUNCTION, &Transfer::progressCallback);
+        setOption(CURLOPT_XFERINFODATA, this);
+        setOption(CURLOPT_VERBOSE, 1L); // For the debug callback, which prints nothing.
+        setOption(CURLOPT_DEBUGFUNCTION, &Transfer::debugCallback);
+        setOption(CURLOPT_DEBUGDATA, this);
     }
 
-    /// Returns why the transfer must be aborted, or None if it may continue.
+    /// Decides whether the transfer must be aborted, and returns why; None if it may continue.
     Reason checkForAbort(absl::Time now)
     {
-        if (m_request.sink->isCancelled())
-            return Reason::Cancelled;
-        if (!m_isHeadComplete && now >= m_request.deadline)
-            return Reason::DeadlineExpired;
-        return m_isHeadComplete && !m_paused ? m_tracker.checkProgress(now) : Reason::None;
+        if (m_abortReason == Reason::None)
+            m_abortReason = reasonToAbort(now);
+        return m_abortReason;
     }
 
     /// Flushes the sink after all data that was available has been read.
@@ -108,14 +120,20 @@
         curl_easy_pause(m_easy, CURLPAUSE_CONT);
     }
 
-    /// Calls `onEnded` of the request. \p abortReason is None if the transfer was not aborted.
-    void reportOutcome(CURLcode code, Reason abortReason)
+    /// Calls `onEnded` of the request.
+    void reportOutcome(CURLcode code)
     {
-        if (code == CURLE_OK && abortReason == Reason::None) {
+        // A transfer that was complete when it had to be aborted is complete.
+        const Reason abortReason = code == CURLE_OK ? Reason::None : m_abortReason;
+        if (code == CURLE_OK && abortReason == Reason::None)
             forwardHeadOnce();
-            if (m_refusedByBackend)
-                m_request.onEnded(RunOutcome::Shed, Reason::Shed, 0);
-            else if (const Reason reason = m_tracker.onEnd(absl::Now()); reason != Reason::None)
+        // The head of a refusal says all, whatever became of its body.
+        if (m_refusedByBackend) {
+            m_request.onEnded(RunOutcome::Shed, Reason::Shed, 0);
+            return;
+        }
+        if (code == CURLE_OK && abortReason == Reason::None) {
+            if (const Reason reason = m_tracker.onEnd(absl::Now()); reason != Reason::None)
                 m_request.onEnded(RunOutcome::Failed, reason, m_tracker.receivedBytes());
             else
                 m_request.onEnded(RunOutcome::Answered, Reason::None, m_tracker.receivedBytes());
@@ -138,6 +156,17 @@
     }
 
 private:
+    Reason reasonToAbort(absl::Time now)
+    {
+        if (m_request.sink->isCancelled())
+            return Reason::Cancelled;
+        if (!m_isHeadComplete && now >= m_request.deadline)
+            return Reason::DeadlineExpired;
+        if (m_bytesWithoutProgress > MaxBytesWithoutProgress)
+            return Reason::AnswerMismatched;
+        return m_isHeadComplete && !m_paused ? m_tracker.checkProgress(now) : Reason::None;
+    }
+
     template<typename Value>
     void setOption(CURLoption name, Value value)
     {
@@ -178,6 +207,20 @@
         setOption(CURLOPT_HTTPHEADER, m_requestHeaders);
     }
 
+    static int progressCallback(void *self, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+    {
+        // A value other than 0 aborts the transfer.
+        return static_cast<Transfer *>(self)->checkForAbort(absl::Now()) == Reason::None ? 0 : 1;
+    }
+
+    /// Counts the bytes after the head before libcurl decodes chunks.
+    static int debugCallback(CURL *, curl_infotype type, char *, std::size_t size, void *self)
+    {
+        if (type == CURLINFO_DATA_IN)
+            static_cast<Transfer *>(self)->m_bytesWithoutProgress += size;
+        return 0;
+    }
+
     static std::size_t headerCallback(char *data, std::size_t, std::size_t size, void *self)
     {
         // A part of the line aborts the transfer.
@@ -189,9 +232,14 @@
         return static_cast<Transfer *>(self)->onBodyPart({ data, size });
     }
 
-    /// Returns false for a line that other readers may interpret differently.
+    /// Returns false for a line that other readers may interpret differently, and beyond the limit.
     bool onHeaderLine(std::string_view line)
     {
+        m_headBytes += line.size();
+        if (m_headBytes > MaxHeadBytes) {
+            m_isGarbled = true;
+            return false;
+        }
         if (m_isHeadComplete || line == "\r\n") // Trailers are not forwarded.
             return true;
         if (line.starts_with("HTTP/")) { // A new head; an interim response may have come before it.
@@ -250,8 +298,11 @@
 
     std::size_t onBodyPart(std::string_view part)
     {
-        if (!forwardHeadOnce())
-            return part.size();
+        if (!forwardHeadOnce()) {
+            m_discardedBytes += part.size();
+            return m_discardedBytes > DiscardedBodyLimit ? 0 : part.size();
+        }
+        m_bytesWithoutProgress = 0;
         if (m_tracker.onBody(part.size(), absl::Now()) != Reason::None)
             return 0;
         if (!m_request.sink->isReadyForMore(
@@ -266,7 +317,11 @@
 
     Reason failureReason(CURLcode code) const
     {
-        if (m_isGarbled)
+        // libcurl reports bytes that are not HTTP, and a header line beyond its limit, by these
+        // codes.
+        const bool isNoAnswer = code == CURLE_UNSUPPORTED_PROTOCOL
+                                || code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_OUT_OF_MEMORY;
+        if (m_isGarbled || m_discardsAnswer || isNoAnswer)
             return Reason::AnswerMismatched;
         return code == CURLE_PARTIAL_FILE || code == CURLE_RECV_ERROR || code == CURLE_WRITE_ERROR
                        ? Reason::AnswerTruncated
@@ -277,9 +332,13 @@
     BackendRequest &m_request;
     AnswerTracker m_tracker;
     AnswerHead m_head;
+    Reason m_abortReason = Reason::None;
     curl_slist *m_requestHeaders = nullptr;
     bool m_isHeadComplete = false;
-    bool m_isGarbled = false; ///< The head is not well-formed.
+    bool m_isGarbled = false; ///< The head or its trailers are not well-formed.
+    std::size_t m_headBytes = 0;
+    std::size_t m_discardedBytes = 0;
+    std::size_t m_bytesWithoutProgress = 0;
     bool m_discardsAnswer = false;
     bool m_hasNotRunVerdict = false;
     bool m_refusedByBackend = false;
@@ -310,16 +369,13 @@
         Transfer transfer(m_easy, request);
         transfer.prepare();
         curl_multi_add_handle(m_multi, m_easy);
-        Reason abortReason = Reason::None;
-        const CURLcode code = runEventLoop(transfer, abortReason);
-        transfer.reportOutcome(code, abortReason);
+        transfer.reportOutcome(runEventLoop(transfer));
         curl_multi_remove_handle(m_multi, m_easy);
     }
 
 private:
-    /// Polls until the transfer completes or must be aborted; sets \p abortReason in the latter
-    /// case.
-    CURLcode runEventLoop(Transfer &transfer, Reason &abortReason)
+    /// Polls until the transfer completes or must be aborted.
+    CURLcode runEventLoop(Transfer &transfer)
     {
         while (true) {
             int running = 0;
@@ -329,8 +385,7 @@
                 if (message->msg == CURLMSG_DONE)
                     return message->data.result;
             }
-            abortReason = transfer.checkForAbort(absl::Now());
-            if (abortReason != Reason::None)
+            if (transfer.checkForAbort(absl::Now()) != Reason::None)
                 return CURLE_ABORTED_BY_CALLBACK;
             transfer.resumeIfReady();
             transfer.flush();
--- a/tests/adapters/NodeTests.cpp
+++ b/tests/adapters/NodeTests.cpp
@@ -43,6 +43,7 @@
   "services": {"s": {}, "raw": {}},
   "routes": {
     "raw": {"path_prefix": "/raw", "service": "raw", "rank": "k", "deadline_ms": 1500, "stall_timeout_ms": 300},
+    "endless": {"path_prefix": "/endless", "service": "raw", "rank": "k", "deadline_ms": 10000, "stall_timeout_ms": 1000},
     "r": {"path_prefix": "/r", "service": "s", "rank": "k", "deadline_ms": 1500, "stall_timeout_ms": 300, "request_limit_bytes": 50000},
     "once": {"path_prefix": "/once", "service": "s", "rank": "k", "repeat": "at-most-once", "deadline_ms": 1500, "stall_timeout_ms": 300}
   }
@@ -208,10 +209,12 @@
         ::close(m_socket);
     }
 
-    void setAnswer(std::string answer)
+    /// \p repeated follows the answer again and again, until the node closes the connection.
+    void setAnswer(std::string answer, std::string repeated = {})
     {
         const absl::MutexLock lock(&m_mutex);
         m_answer = std::move(answer);
+        m_repeated = std::move(repeated);
     }
 
 private:
@@ -227,13 +230,16 @@
                 received.append(buffer, static_cast<std::size_t>(size));
             }
             const absl::MutexLock lock(&m_mutex);
-            ::send(peer, m_answer.data(), m_answer.size(), MSG_NOSIGNAL);
+            bool isOpen = ::send(peer, m_answer.data(), m_answer.size(), MSG_NOSIGNAL) >= 0;
+            while (isOpen && !m_repeated.empty())
+                isOpen = ::send(peer, m_repeated.data(), m_repeated.size(), MSG_NOSIGNAL) >= 0;
         }
     }
 
     const int m_socket;
     absl::Mutex m_mutex;
     std::string m_answer;
+    std::string m_repeated;
     std::thread m_thread;
 };
 
@@ -356,6 +362,21 @@
         }
     }
 
+    SECTION("bytes without end that are no answer are refused long before the deadline")
+    {
+        RawBackend raw;
+        request("POST", 7404, "/local/announce",
+                R"({"id": "raw", "service": "raw", "address": "127.77.0.1:7411", "slots": 8})");
+        const std::string head = "HTTP/1.1 200 OK\r\nGodwitlift-Request-Id: 999999\r\n";
+        const auto [answer, repeated] = GENERATE_COPY(table<std::string, std::string>(
+                { { "", "\x16\x03\x01" }, { head + "X-Filler: ", "x" }, { head + "\r\n", "x" } }));
+        raw.setAnswer(answer, repeated);
+        RunningNode::waitFor([] { return request("GET", 7401, "/raw").status != 503; });
+        const absl::Time start = absl::Now();
+        CHECK(request("GET", 7401, "/endless").status == 502);
+        CHECK(absl::Now() - start < absl::Seconds(3));
+    }
+
     SECTION("requests with an idempotency key run once and mismatches are refused")
     {
         const std::vector<std::string> key = { "Idempotency-Key: k1" };
