Grant the trial of a crashing request to one node of the fleet

Cause: nodes share the crashes, and so the moment at which the quarantine ends, but each allowed itself a trial. Evidence: on seven nodes sent the request within 0.7 s, 61 s after the third crash; the first report of a crash came after the last of these sends. Change: a node claims the trial by a conditional write of the quarantine's row, which names the crashes and the time of the trial; without the store there is none, and a trial without an end is repeated after a minute. A trial is not retried. One row has one winner, whatever becomes of it.

--- a/packages/decisions/include/godwitlift/traffic/CrashHistory.h
+++ b/packages/decisions/include/godwitlift/traffic/CrashHistory.h
@@ -33,6 +33,21 @@
     absl::Duration age;
 };
 
+/// What a node may do with a request.
+enum class CrashAdmission : std::uint8_t {
+    Send,
+    Refuse,
+    Trial ///< Its quarantine has ended. One node of the fleet may send it, to see whether it is
+          ///< safe.
+};
+
+/// The latest trial of a request that a node has been granted.
+struct CrashTrial
+{
+    std::size_t crashCount = 0; ///< Crashes that were known when it was granted.
+    absl::Duration age;
+};
+
 /// Quarantines requests under which CrashLimit backend servers have ended. Not thread-safe.
 ///
 /// A server's end also charges the requests that were only in progress. What tells the cause from
@@ -53,8 +68,11 @@
     /// crashes servers ends ever fewer.
     static constexpr absl::Duration InitialQuarantine = absl::Minutes(1);
     static constexpr absl::Duration MaxQuarantine = absl::Hours(1);
-    /// After the quarantine, a node sends a request once in this time until an answer clears it.
+    /// After the quarantine, a node asks for a trial of a request at most once in this time.
     static constexpr absl::Duration TrialInterval = absl::Seconds(10);
+    /// Time after which a trial that led neither to an answer nor to a crash, such as one of a node
+    /// that was lost, is repeated. Longer than a request and the report of its end take.
+    static constexpr absl::Duration TrialExpiry = absl::Minutes(1);
     /// Time after an answer in which a request is not charged with a crash.
     static constexpr absl::Duration AnswerProtection = absl::Seconds(10);
     /// Time after the last crash at which a request that is not quarantined is forgotten.
@@ -77,8 +95,11 @@
     void clear(ContentDigest content) { m_charges.erase(content); }
 
     bool isQuarantined(ContentDigest content, absl::Time now) const;
-    /// Whether this node may send the request; after a quarantine, once per TrialInterval.
-    bool admit(ContentDigest content, absl::Time now);
+    /// What this node may do with the request now. Trial is returned once per TrialInterval.
+    CrashAdmission admit(ContentDigest content, absl::Time now);
+    /// Whether the fleet may try the request again, of which \p latest is the latest trial, if any.
+    bool isTrialDue(ContentDigest content, const std::optional<CrashTrial> &latest,
+                    absl::Time now) const;
     /// Time until the request may be tried again; zero if it is not quarantined.
     absl::Duration quarantineLeft(ContentDigest content, absl::Time now) const;
     /// The crashes of one request; empty if none is known.
@@ -91,7 +112,7 @@
     {
         std::vector<ServerProcess> processes;
         absl::Time lastCrash = absl::InfinitePast();
-        absl::Time lastTrial = absl::InfinitePast();
+        absl::Time lastTrial = absl::InfinitePast(); ///< For which this node has asked.
     };
 
     bool insert(const ServerCrash &crash, absl::Time crashTime, absl::Time now);
--- a/packages/decisions/src/traffic/CrashHistory.cpp
+++ b/packages/decisions/src/traffic/CrashHistory.cpp
@@ -89,15 +89,25 @@
     return std::max(quarantineEnd(it->second) - now, absl::ZeroDuration());
 }
 
-bool CrashHistory::admit(ContentDigest content, absl::Time now)
+CrashAdmission CrashHistory::admit(ContentDigest content, absl::Time now)
 {
     const auto it = m_charges.find(content);
     if (it == m_charges.end() || it->second.processes.size() < CrashLimit)
-        return true;
+        return CrashAdmission::Send;
     if (now < quarantineEnd(it->second) || now - it->second.lastTrial < TrialInterval)
-        return false;
+        return CrashAdmission::Refuse;
     it->second.lastTrial = now;
-    return true;
+    return CrashAdmission::Trial;
+}
+
+bool CrashHistory::isTrialDue(ContentDigest content, const std::optional<CrashTrial> &latest,
+                              absl::Time now) const
+{
+    if (isQuarantined(content, now))
+        return false;
+    const auto it = m_charges.find(content);
+    const std::size_t crashCount = it == m_charges.end() ? 0 : it->second.processes.size();
+    return !latest || latest->crashCount < crashCount || latest->age >= TrialExpiry;
 }
 
 std::vector<AgedCrash> CrashHistory::crashes(ContentDigest content, absl::Time now) const
--- a/packages/node/src/ingress/IngressCall.cpp
+++ b/packages/node/src/ingress/IngressCall.cpp
@@ -105,7 +105,7 @@
 {
     if (m_ingress.m_quotaExchange == nullptr || m_account == nullptr
         || !m_account->quota.isLimited()) {
-        startFirstAttempt();
+        admitByCrashHistory();
         return;
     }
     m_isQuotaApplied = true;
@@ -121,7 +121,7 @@
     m_isQuotaDecided = true;
     if (decision.isAdmitted()) {
         m_hasQuotaCredit = true;
-        startFirstAttempt();
+        admitByCrashHistory();
         return;
     }
     m_ingress.m_log.write("quota-refused",
@@ -175,15 +175,42 @@
     return m_account != nullptr && m_account->urgency ? *m_account->urgency : m_route.urgency;
 }
 
-void IngressCall::startFirstAttempt()
+void IngressCall::admitByCrashHistory()
 {
-    CrashHistory &crashHistory = m_ingress.m_options.crashHistory;
-    if (!crashHistory.admit(m_content, steadyNow())) {
-        sendFinalAnswer(RetryDecision::Refuse, Reason::Quarantined,
-                        std::max(crashHistory.quarantineLeft(m_content, steadyNow()),
-                                 CrashHistory::TrialInterval));
-        return;
+    const CrashAdmission admission = m_ingress.m_options.crashHistory.admit(m_content, steadyNow());
+    if (admission == CrashAdmission::Send) {
+        startFirstAttempt();
+    } else if (admission == CrashAdmission::Trial && m_ingress.m_trialClaims != nullptr) {
+        m_ingress.m_trialClaims->claimTrial(m_content, [weak = weak_from_this()](bool isGranted) {
+            if (const auto self = weak.lock())
+                self->onTrialDecided(isGranted);
+        });
+    } else {
+        refuseQuarantined();
     }
+}
+
+void IngressCall::onTrialDecided(bool isGranted)
+{
+    if (m_self == nullptr) // The call has ended meanwhile.
+        return;
+    m_isTrial = isGranted;
+    if (isGranted)
+        startFirstAttempt();
+    else
+        refuseQuarantined();
+}
+
+void IngressCall::refuseQuarantined()
+{
+    const absl::Duration quarantineLeft =
+            m_ingress.m_options.crashHistory.quarantineLeft(m_content, steadyNow());
+    sendFinalAnswer(RetryDecision::Refuse, Reason::Quarantined,
+                    std::max(quarantineLeft, CrashHistory::TrialInterval));
+}
+
+void IngressCall::startFirstAttempt()
+{
     const auto choice = selectHost(false);
     if (!choice) {
         sendFinalAnswer(m_worstVerdict == Verdict::NotRun ? RetryDecision::Refuse
@@ -422,7 +449,7 @@
 {
     m_worstVerdict = std::max(m_worstVerdict, failure.verdict);
     const absl::Time now = steadyNow();
-    if (decideRetry(makeFailedAttempt(failure)) != RetryDecision::Retry
+    if (decideRetry(makeFailedAttempt(failure)) != RetryDecision::Retry || m_isTrial
         || failure.reason == Reason::Quarantined
         || m_ingress.m_options.crashHistory.isQuarantined(m_content, now))
         return false;
--- a/packages/node/src/ingress/IngressCall.h
+++ b/packages/node/src/ingress/IngressCall.h
@@ -49,6 +49,10 @@
     void onQuotaDecision(const QuotaDecision &decision);
     /// Gives the credit back if the request has not run, or gives up the wait for it.
     void settleQuota();
+    /// Starts the first attempt unless servers have ended under the request.
+    void admitByCrashHistory();
+    void onTrialDecided(bool isGranted);
+    void refuseQuarantined();
     void startFirstAttempt();
     /// Selects the host of the next attempt, of the version that the request may go to.
     std::optional<SelectedHost> selectHost(bool isRepeat);
@@ -114,6 +118,7 @@
     std::size_t m_answerBytes = 0;
     bool m_isStreaming = false;
     bool m_isServerCall = false;
+    bool m_isTrial = false; ///< Of a request under which servers have ended; not repeated.
 };
 
 } // namespace godwitlift
--- a/packages/node/src/ingress/IngressService.h
+++ b/packages/node/src/ingress/IngressService.h
@@ -5,6 +5,7 @@
 #include "gate/Attempt.h"
 #include "gate/BackendConnection.h"
 #include "http/HttpServer.h"
+#include "ingress/TrialClaims.h"
 #include "quota/QuotaExchange.h"
 #include "report/NodeMetrics.h"
 #include "report/RateLimitedLog.h"
@@ -68,6 +69,8 @@
     void setCatalogue(std::shared_ptr<const RouteCatalogue> catalogue);
     /// Admits requests by the quotas of their accounts. Until it is set, there are none.
     void setQuotaExchange(QuotaExchange &exchange) { m_quotaExchange = &exchange; }
+    /// Until it is set, requests under which servers have ended are not tried again.
+    void setTrialClaims(TrialClaims &claims) { m_trialClaims = &claims; }
     /// \p isKnowledgeCurrent tells whether the node can prove that the version in force holds no
     /// key that was revoked too long ago. Until it is set, this counts as proved.
     void setKnowledgeCheck(std::function<bool()> isKnowledgeCurrent)
@@ -98,6 +101,7 @@
     FinishTimeSelector &m_selector;
     GatewayLookup &m_gateways;
     QuotaExchange *m_quotaExchange = nullptr;
+    TrialClaims *m_trialClaims = nullptr;
     RateLimitedLog &m_log;
     NodeMetrics &m_metrics;
     std::shared_ptr<const RouteCatalogue> m_catalogue;
--- a/packages/node/src/peers/PeerMesh.h
+++ b/packages/node/src/peers/PeerMesh.h
@@ -83,6 +83,7 @@
     /// Asks peers of this zone and of others what they can prove about the newest version.
     void askForConfirmation();
     void setNeedsProofs(bool needsProofs) { m_options.needsProofs = needsProofs; }
+    TrialClaims &trialClaims() { return m_quarantineStore; }
     DrainReplicator &drainReplicator() { return m_drainReplicator; }
     /// Tells peers that this node shuts down. Deletes its row in the store if \p deletesHostRow,
     /// which is for a host that is not expected to return.
--- a/packages/node/src/peers/QuarantineStore.cpp
+++ b/packages/node/src/peers/QuarantineStore.cpp
@@ -36,7 +36,15 @@
     return number;
 }
 
-std::string encodeRow(const std::vector<AgedCrash> &crashes)
+/// What a row says.
+struct QuarantineRecord
+{
+    std::vector<AgedCrash> crashes;
+    std::optional<CrashTrial> latestTrial;
+};
+
+/// \p isTrial tells that the writer is to try the request now.
+std::string encodeRow(const std::vector<AgedCrash> &crashes, bool isTrial)
 {
     nlohmann::json processes = nlohmann::json::array();
     absl::Duration age = absl::InfiniteDuration();
@@ -44,13 +52,23 @@
         processes.push_back(encodeNumber(crash.crash.process.value()));
         age = std::min(age, crash.age);
     }
-    return nlohmann::json{
-        { "processes", processes }, { "last_crash_ms", absl::ToUnixMillis(absl::Now() - age) }
-    }.dump();
+    nlohmann::json row{ { "processes", processes },
+                        { "last_crash_ms", absl::ToUnixMillis(absl::Now() - age) } };
+    if (isTrial) {
+        row["trial_crashes"] = crashes.size();
+        row["trial_ms"] = absl::ToUnixMillis(absl::Now());
+    }
+    return row.dump();
+}
+
+/// A clock that has been set back must not put an event into the future.
+absl::Duration ageOf(std::int64_t unixMs)
+{
+    return std::max(absl::Now() - absl::FromUnixMillis(unixMs), absl::ZeroDuration());
 }
 
 /// Returns none for a row that is malformed or has another format.
-std::optional<std::vector<AgedCrash>> decodeRow(const StoreRow &row)
+std::optional<QuarantineRecord> decodeRow(const StoreRow &row)
 {
     const auto content = decodeNumber(row.key);
     const auto value = nlohmann::json::parse(row.value, nullptr, false);
@@ -58,19 +76,22 @@
         || !value["processes"].is_array() || !value.contains("last_crash_ms")
         || !value["last_crash_ms"].is_number_integer())
         return std::nullopt;
-    // A clock that has been set back must not put the crash into the future.
-    const absl::Duration age =
-            std::max(absl::Now() - absl::FromUnixMillis(value["last_crash_ms"].get<std::int64_t>()),
-                     absl::ZeroDuration());
-    std::vector<AgedCrash> crashes;
+    const absl::Duration age = ageOf(value["last_crash_ms"].get<std::int64_t>());
+    QuarantineRecord record;
     for (const auto &entry : value["processes"]) {
         const auto process =
                 entry.is_string() ? decodeNumber(entry.get<std::string>()) : std::nullopt;
         if (!process)
             return std::nullopt;
-        crashes.push_back({ { ContentDigest(*content), ServerProcess(*process) }, age });
+        record.crashes.push_back({ { ContentDigest(*content), ServerProcess(*process) }, age });
     }
-    return crashes;
+    const auto trialCrashes = value.find("trial_crashes");
+    const auto trialTime = value.find("trial_ms");
+    if (trialCrashes != value.end() && trialCrashes->is_number_unsigned()
+        && trialTime != value.end() && trialTime->is_number_integer())
+        record.latestTrial = { trialCrashes->get<std::size_t>(),
+                               ageOf(trialTime->get<std::int64_t>()) };
+    return record;
 }
 
 } // namespace
@@ -117,21 +138,21 @@
 
 void QuarantineStore::addRow(const StoreRow &row)
 {
-    const auto crashes = decodeRow(row);
-    if (!crashes) {
-        m_metrics.recordUndecodable("quarantine-row");
-        m_log.write("quarantine-row-unreadable",
-                    LogLine("quarantine-row-unreadable").add("key", row.key), steadyNow());
+    const auto record = decodeRow(row);
+    if (!record) {
+        logUnreadableRow(row.key);
         return;
     }
     const absl::Time now = steadyNow();
-    for (const AgedCrash &crash : *crashes)
+    for (const AgedCrash &crash : record->crashes)
         m_history.add(crash, now);
-    if (crashes->empty())
+    if (record->crashes.empty())
         return;
-    const ContentDigest content = crashes->front().crash.content;
+    const ContentDigest content = record->crashes.front().crash.content;
     if (!m_history.isQuarantined(content, now)) {
-        remove(content);
+        // A row whose trial may still be running keeps other nodes from another one.
+        if (m_history.isTrialDue(content, record->latestTrial, now))
+            remove(content);
         return;
     }
     m_log.write("quarantine-recalled",
@@ -141,6 +162,68 @@
                 now);
 }
 
+void QuarantineStore::logUnreadableRow(const std::string &key)
+{
+    m_metrics.recordUndecodable("quarantine-row");
+    m_log.write("quarantine-row-unreadable", LogLine("quarantine-row-unreadable").add("key", key),
+                steadyNow());
+}
+
+void QuarantineStore::claimTrial(ContentDigest content, std::function<void(bool)> onDecided)
+{
+    StoreRequest request;
+    request.kind = StoreRequest::Kind::List;
+    request.table = QuarantineTable;
+    request.firstKey = encodeNumber(content.value());
+    request.endKey = request.firstKey + '!';
+    m_store.call(std::move(request),
+                 [this, content, onDecided = std::move(onDecided)](const StoreAnswer &answer) {
+                     onTrialRowRead(content, answer, onDecided);
+                 });
+}
+
+void QuarantineStore::onTrialRowRead(ContentDigest content, const StoreAnswer &answer,
+                                     const std::function<void(bool)> &onDecided)
+{
+    if (answer.outcome != StoreOutcome::Done) {
+        onDecided(false);
+        return;
+    }
+    StoreRequest request;
+    request.expectedRevision = 0; // The row must not exist.
+    std::optional<CrashTrial> latestTrial;
+    if (!answer.rows.empty()) {
+        const StoreRow &row = answer.rows.front();
+        request.expectedRevision = row.revision;
+        if (const auto record = decodeRow(row)) {
+            for (const AgedCrash &crash : record->crashes)
+                m_history.add(crash, steadyNow());
+            latestTrial = record->latestTrial;
+        } else {
+            logUnreadableRow(row.key);
+        }
+    }
+    const absl::Time now = steadyNow();
+    if (!m_history.isTrialDue(content, latestTrial, now)) {
+        onDecided(false);
+        return;
+    }
+    request.kind = StoreRequest::Kind::Put;
+    request.table = QuarantineTable;
+    request.key = encodeNumber(content.value());
+    request.value = encodeRow(m_history.crashes(content, now), true);
+    m_store.call(std::move(request), [this, content, onDecided](const StoreAnswer &written) {
+        const bool isGranted = written.outcome == StoreOutcome::Done;
+        m_log.write("crash-trial",
+                    LogLine("crash-trial")
+                            .add("content", content.value())
+                            .add("granted", isGranted ? "yes" : "no")
+                            .add("outcome", name(written.outcome)),
+                    steadyNow());
+        onDecided(isGranted);
+    });
+}
+
 void QuarantineStore::save(ContentDigest content)
 {
     if (!m_history.isQuarantined(content, steadyNow()))
@@ -186,7 +269,7 @@
     request.kind = StoreRequest::Kind::Put;
     request.table = QuarantineTable;
     request.key = encodeNumber(content.value());
-    request.value = encodeRow(crashes);
+    request.value = encodeRow(crashes, false);
     m_store.call(std::move(request),
                  [this, content](const StoreAnswer &answer) { onRowWritten(content, answer); });
 }
--- a/packages/node/src/peers/QuarantineStore.h
+++ b/packages/node/src/peers/QuarantineStore.h
@@ -2,6 +2,7 @@
 /// Copies of the fleet's quarantined requests in the store, for nodes that all start anew.
 #pragma once
 
+#include "ingress/TrialClaims.h"
 #include "report/NodeMetrics.h"
 #include "report/RateLimitedLog.h"
 #include "store/StoreClient.h"
@@ -19,8 +20,10 @@
 ///
 /// Peers tell a node that starts what they know; the store is for the case that no peer knows
 /// anything because all have restarted. A quarantine has one row, which any node may write: a lost
-/// or late write costs at most a crash that is known too late.
-class QuarantineStore final
+/// or late write costs at most a crash that is known too late. The row also names the latest trial;
+/// a node that wants one writes it on the condition that the row has not changed since it was read,
+/// so that one node at most is granted a trial whatever becomes of the others.
+class QuarantineStore final : public TrialClaims
 {
 public:
     QuarantineStore(asio::io_context &loop, StoreClient &store, CrashHistory &history,
@@ -33,6 +36,8 @@
     /// Deletes the request's row, since a server has answered it.
     void remove(ContentDigest content);
 
+    void claimTrial(ContentDigest content, std::function<void(bool)> onDecided) override;
+
     /// The store has returned from a copy: repeats the writes and removals of this node.
     void onStoreReset();
 
@@ -40,6 +45,9 @@
     void readRows(const std::string &firstKey);
     void onRowsRead(const StoreAnswer &answer);
     void addRow(const StoreRow &row);
+    void onTrialRowRead(ContentDigest content, const StoreAnswer &answer,
+                        const std::function<void(bool)> &onDecided);
+    void logUnreadableRow(const std::string &key);
     void writeNext();
     void onRowWritten(ContentDigest content, const StoreAnswer &answer);
     /// Continues with the store after a delay.
--- a/packages/node/src/runtime/MeshNode.cpp
+++ b/packages/node/src/runtime/MeshNode.cpp
@@ -191,6 +191,7 @@
         m_ingress.setKnowledgeCheck([this] { return m_accessGuard.isCurrent(); });
         m_mesh.setQuotaExchange(m_quotaExchange);
         m_ingress.setQuotaExchange(m_quotaExchange);
+        m_ingress.setTrialClaims(m_mesh.trialClaims());
         m_mesh.setStoreEraCallback([this](StoreEra era) { onStoreEra(era); });
         m_selector.setOwnZone(m_settings.zone);
         m_selector.setOwnHost(m_settings.host);
--- a/tests/node/RequestPath.h
+++ b/tests/node/RequestPath.h
@@ -191,6 +191,7 @@
     int unreadableLimits = 0;
     int leavingNotices = 0;
     int unchargedCrashes = 0;
+    ContentDigest lastContent; ///< Of the request whose run has ended last.
 
 private:
     void accept()
@@ -214,7 +215,10 @@
         refusals.push_back(reason);
     }
     bool admits(const AttemptRequest &) override { return true; }
-    void onServerRunEnded(const AttemptRequest &, ServerRunEnd, absl::Duration) override {}
+    void onServerRunEnded(const AttemptRequest &request, ServerRunEnd, absl::Duration) override
+    {
+        lastContent = request.content;
+    }
     void onServerStateChanged(std::string_view) override {}
     void onRequestLimitChanged() override {}
     void onRequestLimitUnreadable() override { ++unreadableLimits; }
--- a/tests/traffic/CrashHistoryTests.cpp
+++ b/tests/traffic/CrashHistoryTests.cpp
@@ -34,11 +34,11 @@
     CHECK(history.charge(crash(1), Now));
     history.add({ crash(2), absl::Milliseconds(20) }, Now);
     CHECK_FALSE(history.isQuarantined(Crashing, Now));
-    CHECK(history.admit(Crashing, Now));
+    CHECK(history.admit(Crashing, Now) == CrashAdmission::Send);
     history.add({ crash(3), absl::ZeroDuration() }, Now);
     CHECK(history.isQuarantined(Crashing, Now));
-    CHECK_FALSE(history.admit(Crashing, Now));
-    CHECK(history.admit(Innocent, Now));
+    CHECK(history.admit(Crashing, Now) == CrashAdmission::Refuse);
+    CHECK(history.admit(Innocent, Now) == CrashAdmission::Send);
 }
 
 // Guards against counting one crash several times.
@@ -67,10 +67,10 @@
 {
     CrashHistory history = quarantined();
     CHECK(history.onAnswered(Crashing, Now));
-    CHECK(history.admit(Crashing, Now));
+    CHECK(history.admit(Crashing, Now) == CrashAdmission::Send);
     CHECK_FALSE(history.charge(crash(4), Now + absl::Seconds(1)));
     CHECK(history.charge(crash(4), Now + CrashHistory::AnswerProtection));
-    CHECK(history.admit(Crashing, Now + CrashHistory::AnswerProtection));
+    CHECK(history.admit(Crashing, Now + CrashHistory::AnswerProtection) == CrashAdmission::Send);
     CHECK_FALSE(history.onAnswered(Innocent, Now));
 }
 
@@ -81,7 +81,7 @@
     history.onAnswered(Innocent, Now - absl::Milliseconds(100));
     for (std::uint64_t process = 1; process <= 20; ++process)
         CHECK_FALSE(history.charge(crash(process, Innocent), Now));
-    CHECK(history.admit(Innocent, Now));
+    CHECK(history.admit(Innocent, Now) == CrashAdmission::Send);
 }
 
 // A server's new version may have mended the fault.
@@ -89,12 +89,13 @@
 {
     CrashHistory history = quarantined();
     const absl::Time end = Now + CrashHistory::InitialQuarantine;
-    CHECK_FALSE(history.admit(Crashing, end - absl::Milliseconds(1)));
-    CHECK(history.admit(Crashing, end));
-    CHECK_FALSE(history.admit(Crashing, end + absl::Seconds(1)));
+    CHECK(history.admit(Crashing, end - absl::Milliseconds(1)) == CrashAdmission::Refuse);
+    CHECK(history.admit(Crashing, end) == CrashAdmission::Trial);
+    CHECK(history.admit(Crashing, end + absl::Seconds(1)) == CrashAdmission::Refuse);
     history.charge(crash(4), end);
-    CHECK_FALSE(history.admit(Crashing, end + CrashHistory::InitialQuarantine));
-    CHECK(history.admit(Crashing, end + 2 * CrashHistory::InitialQuarantine));
+    CHECK(history.admit(Crashing, end + CrashHistory::InitialQuarantine) == CrashAdmission::Refuse);
+    CHECK(history.admit(Crashing, end + 2 * CrashHistory::InitialQuarantine)
+          == CrashAdmission::Trial);
     for (std::uint64_t process = 5; process < 40; ++process)
         history.charge(crash(process), end);
     CHECK(history.quarantineLeft(Crashing, end) == CrashHistory::MaxQuarantine);
@@ -146,3 +147,21 @@
     detector.onAnswerLost(ContentDigest(), ServerProcess(1), Now);
     CHECK(detector.onServerEnded(Now).empty());
 }
+
+// Guards against a trial by each node (review case 9), by a node that lags behind, and against none
+// at all after the node that had it was lost.
+TEST_CASE("a trial is due once for each number of crashes, and again when it has expired")
+{
+    CrashHistory history = quarantined();
+    const absl::Time end = Now + CrashHistory::InitialQuarantine;
+    CHECK_FALSE(history.isTrialDue(Crashing, std::nullopt, end - absl::Milliseconds(1)));
+    CHECK(history.isTrialDue(Crashing, std::nullopt, end));
+    CHECK_FALSE(history.isTrialDue(Crashing, CrashTrial{ 3, absl::ZeroDuration() }, end));
+    CHECK_FALSE(history.isTrialDue(Crashing, CrashTrial{ 4, absl::ZeroDuration() }, end));
+    CHECK_FALSE(history.isTrialDue(
+            Crashing, CrashTrial{ 3, CrashHistory::TrialExpiry - absl::Milliseconds(1) }, end));
+    CHECK(history.isTrialDue(Crashing, CrashTrial{ 3, CrashHistory::TrialExpiry }, end));
+    history.charge(crash(4), end);
+    const absl::Time secondEnd = end + 2 * CrashHistory::InitialQuarantine;
+    CHECK(history.isTrialDue(Crashing, CrashTrial{ 3, absl::Seconds(50) }, secondEnd));
+}
