Send nothing behind an answer that is broken off

Callers could see: a 408 or 503 in the middle of an answer whose connection is about to end, if an unfinished request was read behind it. Cause: the connection forgot the open exchanges but kept the request that it was reading, which then timed out and was answered. Change: the unfinished request goes with them. Besides, a trial of a crashing request may be repeated as long as no server has it, and paced frames are counted once. Result: "a complete answer is sent whole before the connection ends in the middle of the next", extended by such a request, has a 408 without the change and none with it; all node tests pass.

--- a/packages/node/src/http/ServerConnection.cpp
+++ b/packages/node/src/http/ServerConnection.cpp
@@ -60,6 +60,9 @@
 
 void ServerConnection::discardExchanges()
 {
+    // An answer to an unfinished request would be taken for the rest of one that is broken off.
+    m_parser.reset();
+    std::string().swap(m_input);
     const auto exchanges = std::move(m_exchanges);
     m_exchanges.clear();
     for (const auto &exchange : exchanges) {
--- a/packages/node/src/http/ServerConnection.h
+++ b/packages/node/src/http/ServerConnection.h
@@ -76,7 +76,7 @@
     /// Ends the connection in the middle of the first unfinished answer, once the complete answers
     /// before it are written.
     void breakOff();
-    /// Forgets the unanswered requests and cancels their calls.
+    /// Forgets the unfinished request and the unanswered ones, and cancels their calls.
     void discardExchanges();
     void writePendingOutput();
     /// Starts writing m_writeBuffer; onWritten() follows.
--- a/packages/node/src/ingress/IngressCall.cpp
+++ b/packages/node/src/ingress/IngressCall.cpp
@@ -449,8 +449,8 @@
 {
     m_worstVerdict = std::max(m_worstVerdict, failure.verdict);
     const absl::Time now = steadyNow();
-    if (decideRetry(makeFailedAttempt(failure)) != RetryDecision::Retry || m_isTrial
-        || failure.reason == Reason::Quarantined
+    if (decideRetry(makeFailedAttempt(failure)) != RetryDecision::Retry
+        || (m_isTrial && m_serversReached > 0) || failure.reason == Reason::Quarantined
         || m_ingress.m_options.crashHistory.isQuarantined(m_content, now))
         return false;
     const auto choice = selectHost(true);
--- a/packages/node/src/ingress/IngressCall.h
+++ b/packages/node/src/ingress/IngressCall.h
@@ -118,7 +118,8 @@
     std::size_t m_answerBytes = 0;
     bool m_isStreaming = false;
     bool m_isServerCall = false;
-    bool m_isTrial = false; ///< Of a request under which servers have ended; not repeated.
+    /// Tries a request under which servers have ended; not repeated once a server has it.
+    bool m_isTrial = false;
 };
 
 } // namespace godwitlift
--- a/packages/node/src/peers/FrameChannel.cpp
+++ b/packages/node/src/peers/FrameChannel.cpp
@@ -116,7 +116,7 @@
     if (!m_account)
         return;
     std::size_t bytes = m_readBuffer.capacity() + m_writeBuffer.capacity() + m_bytesHeldByObserver
-                        + pacedBytes();
+                        + m_pacedBytes;
     for (const std::string &buffer : m_queuedBuffers)
         bytes += buffer.capacity();
     m_account->setHeld(bytes, m_isPeerKnown ? YieldOrder::Never : YieldOrder::Unfinished,
@@ -152,6 +152,7 @@
                                                           : earlier->ticket,
                            {} };
     appendFrame(frame, {}, {}, frame.ByteSizeLong(), pacedFrame.bytes);
+    m_pacedBytes += pacedFrame.bytes.size();
     m_pacedFrames.push_back(std::move(pacedFrame));
     accountHeldBytes();
     scheduleNextPacedFrame();
@@ -163,7 +164,7 @@
         return;
     m_isPacedFrameScheduled = true;
     m_linkScheduler.scheduleSend(
-            m_pacedFrames.front().ticket, pacedBytes(), [weak = weak_from_this()]() -> std::size_t {
+            m_pacedFrames.front().ticket, m_pacedBytes, [weak = weak_from_this()]() -> std::size_t {
                 const auto self = weak.lock();
                 if (self == nullptr)
                     return 0;
@@ -172,6 +173,7 @@
                     return 0;
                 const std::string bytes = std::move(self->m_pacedFrames.front().bytes);
                 self->m_pacedFrames.pop_front();
+                self->m_pacedBytes -= bytes.size();
                 self->queuedBufferFor(bytes.size()) += bytes;
                 self->scheduleFlush();
                 self->scheduleNextPacedFrame();
@@ -179,14 +181,6 @@
             });
 }
 
-std::size_t FrameChannel::pacedBytes() const
-{
-    std::size_t bytes = 0;
-    for (const PacedFrame &frame : m_pacedFrames)
-        bytes += frame.bytes.size();
-    return bytes;
-}
-
 bool FrameChannel::hasPacedFrames(std::uint64_t streamId) const
 {
     return std::any_of(m_pacedFrames.begin(), m_pacedFrames.end(),
@@ -195,8 +189,13 @@
 
 void FrameChannel::dropPacedFrames(std::uint64_t streamId)
 {
-    std::erase_if(m_pacedFrames,
-                  [&](const PacedFrame &frame) { return frame.streamId == streamId; });
+    std::erase_if(m_pacedFrames, [&](const PacedFrame &frame) {
+        if (frame.streamId != streamId)
+            return false;
+        m_pacedBytes -= frame.bytes.size();
+        return true;
+    });
+    accountHeldBytes();
 }
 
 std::string &FrameChannel::queuedBufferFor(std::size_t frameBytes)
--- a/packages/node/src/peers/FrameChannel.h
+++ b/packages/node/src/peers/FrameChannel.h
@@ -86,7 +86,6 @@
     std::string &queuedBufferFor(std::size_t frameBytes);
     void scheduleFlush();
     void scheduleNextPacedFrame();
-    std::size_t pacedBytes() const;
     void flush();
     void waitUntilReadable();
     void onReadable(const boost::system::error_code &error);
@@ -108,6 +107,7 @@
     /// Written after m_writeBuffer, in this order; none is empty between calls.
     std::deque<std::string> m_queuedBuffers;
     std::deque<PacedFrame> m_pacedFrames;
+    std::size_t m_pacedBytes = 0; ///< Sum over m_pacedFrames.
     bool m_isPacedFrameScheduled = false;
     bool m_isWriting = false;
     bool m_isFlushScheduled = false;
--- a/tests/node/PipelinedAnswerTests.cpp
+++ b/tests/node/PipelinedAnswerTests.cpp
@@ -100,12 +100,21 @@
     path.loop.run_for(std::chrono::milliseconds(20));
     REQUIRE(path.httpServer.hasUndeliveredAnswers());
     REQUIRE(client.received.size() < CompleteBytes);
+    // An unfinished request must not be refused where the rest of the answer would be.
+    client.write("POST /pay/a HTTP/1.1\r\nHost: a.example\r\n");
+    path.loop.run_for(std::chrono::milliseconds(20));
     second.closeWithReset();
+    path.runUntil([&] { return path.ingress.callCount() == 0; });
+    ServerLimits limits;
+    limits.headTimeout = absl::Milliseconds(1);
+    path.httpServer.setLimits(limits);
+    path.httpServer.closeTimedOutConnections();
     path.runUntil([&] { return client.isClosedByPeer; });
     CHECK(path.ingress.callCount() == 0);
     CHECK(contains(client.received, "\r\n\r\n" + std::string(CompleteBytes, 'o')));
     // What follows is missing or cut, never complete.
     CHECK_FALSE(contains(client.received, std::string(StreamedBytes, 'x')));
+    CHECK_FALSE(contains(client.received, "HTTP/1.1 408"));
 }
 
 // Guards against an exit that discards an answer on its way: the socket of a process that has ended
