--- a/review/lib-3/mesh.py
+++ b/review/lib-3/mesh.py
@@ -87,6 +87,25 @@
         self.revision = 0
         self.changed = asyncio.Event()
         self.port = 0
+        self.era = 1
+        self.is_away = False
+        self.writers = set()
+
+    def copy(self):
+        return dict(self.rows), list(self.log), self.revision
+
+    def go_away(self):
+        """Resets all connections; new ones are reset, too, until return_from()."""
+        self.is_away = True
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def return_from(self, copy):
+        """Forgets what was written since the copy; its revisions are given out again."""
+        rows, log, self.revision = copy
+        self.rows, self.log = dict(rows), list(log)
+        self.era += 1
+        self.is_away = False
 
     async def start(self):
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -110,17 +129,25 @@
         self.transact([(table, key, base64.b64encode(value).decode())], [])
 
     async def serve(self, reader, writer):
+        if self.is_away:
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
         try:
             while (message := await read_message(reader)) is not None:
+                era = self.era
                 await asyncio.sleep(0.004)
                 status, result = await self.execute(message)
+                if era != self.era or self.is_away:
+                    break  # A connection on which a response is lost delivers nothing further.
                 writer.write(encode_message(f"HTTP/1.1 {status} Answer",
-                                            {"Content-Type": "application/json"},
-                                            json.dumps(result).encode()))
+                                            {"Content-Type": "application/json",
+                                             "Store-Era": era}, json.dumps(result).encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # The caller has gone, or the case is over.
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def result(self, **extra):
@@ -150,6 +177,8 @@
             deadline = time.monotonic() + int(arguments["wait_ms"]) / 1000
             while True:
                 changed = self.changed
+                if int(arguments["after"]) > self.revision:
+                    return 410, {}
                 rows = [row for row in self.log if row["ver"] > int(arguments["after"])
                         and row["table"] == arguments["table"]]
                 left = deadline - time.monotonic()
@@ -169,13 +198,16 @@
         self.name, self.service, self.record, self.slots = name, service, record, slots
         self.id = f"i-{name}-1"
         self.born = int(time.time() * 1000)
+        self.version = "v1"
         self.sequence = 0
         self.state = "ready"
         self.is_up = False
         self.port = 0
         self.control_port = 0
         self.work_seconds = lambda target: 0.05
+        self.failing_share = 0.0  # Of the requests that it runs, with a 500.
         self.runs = []  # (time, attempt id, instance id, born, drain acknowledged at)
+        self.answers = []  # (time, status) of what it ran
         self.drain_acknowledged = None
         self.listener = None
         self.writers = set()
@@ -198,7 +230,7 @@
         self.sequence += 1
         state = self.state
         body = json.dumps({"service": self.service, "address": f"127.0.0.1:{self.port}",
-                           "zone": "caruaru", "version": "v1", "slots": self.slots,
+                           "zone": "caruaru", "version": self.version, "slots": self.slots,
                            "state": state, "cold_remaining": "0ms",
                            "sequence": self.sequence, "born": self.born}).encode()
         try:
@@ -248,7 +280,11 @@
                           method=method, target=target)
         await asyncio.sleep(self.work_seconds(target))
         text = f"{method} {target} {len(body)}".encode()
-        return encode_message("HTTP/1.1 200 OK", {"X-Attempt-Id": attempt,
+        status = "200 OK"
+        if random.random() < self.failing_share:
+            status = "500 Internal Server Error"
+        self.answers.append((time.monotonic(), status[:3]))
+        return encode_message(f"HTTP/1.1 {status}", {"X-Attempt-Id": attempt,
                                                   "X-Response-Seal": "3e1b.07.5a2.600.0.c9f2a4d1"},
                               text)
 
@@ -267,6 +303,7 @@
         self.settings = os.path.join(mesh.folder, self.name + ".json")
         self.log = os.path.join(mesh.folder, self.name + ".log")
         self.process = None
+        self.takes_clients = False  # For cases that choose the nodes of their clients by it.
 
     def start(self, is_first_start):
         listen = {"clients": self.client_port, "readiness": self.ready_port,
@@ -346,6 +383,8 @@
         self.tasks = []
         self.nodes = [Node(self, number, services[number % len(services)])
                       for number in range(node_count)]
+        self.node_count = node_count
+        self.removed = []
         self.services = services
         self.last_request = 0
 
@@ -370,12 +409,24 @@
         await self.store.start()
         self.store.put("op", "config", self.configuration())
         for node in self.nodes:
-            await node.instance.start(node.app_port)
-            node.instance.control_port = node.control_port
-            node.start(True)
-            self.tasks.append(asyncio.create_task(node.instance.keep_beating()))
+            await self.start_node(node, True)
         await wait_for(self.are_all_served, 15, "every node ready and serving")
 
+    async def start_node(self, node, is_first_start):
+        await node.instance.start(node.app_port)
+        node.instance.control_port = node.control_port
+        node.start(is_first_start)
+        self.tasks.append(asyncio.create_task(node.instance.keep_beating()))
+
+    async def add_node(self, version):
+        """A machine that is added during the day, with an instance of that version."""
+        self.node_count += 1
+        node = Node(self, self.node_count - 1, self.services[0])
+        node.instance.version = version
+        self.nodes.append(node)
+        await self.start_node(node, False)
+        return node
+
     async def are_all_served(self):
         for node in self.nodes:
             if not await node.is_ready():
@@ -409,7 +460,7 @@
     def stop(self):
         for task in self.tasks:
             task.cancel()
-        for node in self.nodes:
+        for node in [*self.nodes, *self.removed]:
             if node.process is not None and node.process.poll() is None:
                 node.process.send_signal(signal.SIGCONT)
                 node.process.kill()
