--- a/review/14/case.py
+++ b/review/14/case.py
@@ -16,6 +16,7 @@
 SERVICE = "catalogue"
 DURATION = 12.0
 EXPOSE_SHARE, EXPOSE_SLACK, ROLLBACK = 0.1, 50, 5.0
+STABILITY = 3.0
 STORM_CHANGES, STORM_GAP = 31, 0.16
 REQUESTS_PER_SECOND = 80
 FAILING_SHARE = 0.6    # Of the answers of the bad version, from BAD_AFTER on.
@@ -56,8 +57,9 @@
     while True:
         nodes = [node for node in mesh.nodes if node.takes_clients]
         attempt = mesh.next_id()
-        sent[attempt] = time.monotonic()
-        asyncio.create_task(mesh.request(random.choice(nodes), "GET", "/look/a", attempt=attempt))
+        node = random.choice(nodes)
+        sent[attempt] = time.monotonic(), node
+        asyncio.create_task(mesh.request(node, "GET", "/look/a", attempt=attempt))
         await asyncio.sleep(1 / REQUESTS_PER_SECOND)
 
 
@@ -65,6 +67,7 @@
     nodes = []
     for _ in range(3):
         node = await mesh.add_node(version)
+        node.started = time.monotonic()
         nodes.append(node)
     for node in nodes:
         await lib.wait_for(node.is_ready, 5, f"{node.name} ready")
@@ -127,7 +130,13 @@
     def runs_of(nodes):
         return [run for node in nodes for run in node.instance.runs if ordered <= run[0] <= deadline]
 
-    reached_bad, reached_all = runs_of(bad), runs_of(bad + good)
+    def is_in_touch(run):
+        """A machine is in touch from stability after its start on."""
+        time_sent, node = sent[run[1]]
+        return time_sent >= node.started + STABILITY
+
+    reached_bad = [run for run in runs_of(bad) if is_in_touch(run)]
+    reached_all = runs_of(bad + good)
     failures = sorted(answer[0] for node in bad for answer in node.instance.answers
                       if answer[1] == "500")
     limit = EXPOSE_SHARE * len(reached_all) + EXPOSE_SLACK
@@ -139,7 +148,7 @@
                           f"requests between the order and its deadline; the limit is {limit:.0f}")
     if len(failures) >= 50:
         late = [run for node in bad for run in node.instance.runs
-                if sent.get(run[1], 0) > failures[49] + ROLLBACK]
+                if sent[run[1]][0] > failures[49] + ROLLBACK and is_in_touch(run)]
         if late:
             violations.append(f"EXPOSURE: the bad version got {len(late)} requests that were sent "
                               f"later than {ROLLBACK:.0f} s after its 50th bad answer")
